--- /dev/null
+++ b/src/core/coap.h
@@ -0,0 +1,109 @@
+#pragma once
+
+// The parts of a CoAP message (RFC 7252) that a balancer reads and rewrites: the 4-byte head, the token and a few options. All other
+// options and the payload pass as the bytes they came in.
+//
+// Sections: values | reading | writing
+
+#include "core/types.h"
+
+#include <optional>
+#include <string_view>
+
+namespace hornbeam {
+
+//--- Values
+
+enum class CoapType : uint8_t {
+    Confirmable = 0,
+    NonConfirmable = 1,
+    Acknowledgement = 2,
+    Reset = 3,
+};
+
+/** Codes that balancers use (RFC 7252, 12.1), as class * 32 + detail. */
+enum class CoapCode : uint8_t {
+    Empty = 0,
+    Get = 1,
+    Post = 2,
+    Put = 3,
+    Delete = 4,
+    Changed = 2 * 32 + 4,
+    Content = 2 * 32 + 5,
+    BadRequest = 4 * 32,
+    Unauthorized = 4 * 32 + 1,
+    TooLarge = 4 * 32 + 13,
+    ServiceUnavailable = 5 * 32 + 3,
+    GatewayTimeout = 5 * 32 + 4,
+};
+
+constexpr uint16_t optionObserve = 6;      // RFC 7641
+constexpr uint16_t optionUriPath = 11;     // RFC 7252
+constexpr uint16_t optionMaxAge = 14;      // RFC 7252
+constexpr uint16_t optionEcho = 252;       // RFC 9175
+constexpr uint16_t optionDeadline = 65008; // elective, experimental range: milliseconds that the caller still waits
+constexpr size_t maxTokenBytes = 8;
+
+//--- Reading
+
+struct CoapMessage
+{
+    CoapType type = CoapType::Confirmable;
+    uint8_t code = 0;
+    uint16_t messageId = 0;
+    Bytes token;
+    std::optional<uint32_t> observe;
+    std::optional<uint32_t> maxAge; // seconds
+    std::optional<uint32_t> deadlineMs;
+    Bytes echo;               // empty when there is none
+    size_t tailOffset = 0;    // where the options begin in the datagram
+    size_t observeOffset = 0; // where the Observe option begins in the datagram (its head byte); 0 when there is none
+    size_t observeBytes = 0;  // length of the Observe option, its head byte included
+
+    bool isRequest() const
+    {
+        return this->code >= 1 && this->code < 32;
+    }
+    bool isResponse() const
+    {
+        return this->code >= 64;
+    }
+    /** Whether running it twice is the same as running it once (RFC 7252, 5.1): all methods but POST, unknown ones excluded. */
+    bool isIdempotent() const
+    {
+        return this->code == static_cast<uint8_t>(CoapCode::Get) || this->code == static_cast<uint8_t>(CoapCode::Put)
+            || this->code == static_cast<uint8_t>(CoapCode::Delete);
+    }
+};
+
+/** Parses a datagram. Returns nothing when it is not a well-formed CoAP message of version 1. Thread safe. */
+std::optional<CoapMessage> parseCoap(const uint8_t *data, size_t size);
+
+inline std::optional<CoapMessage> parseCoap(const Bytes &packet)
+{
+    return parseCoap(packet.data(), packet.size());
+}
+
+//--- Writing
+
+/** Puts a new head and token before the untouched tail (options and payload). Precondition: at most maxTokenBytes of token. Thread safe. */
+Bytes withHead(CoapType type, uint8_t code, uint16_t messageId, const Bytes &token, const uint8_t *tail, size_t tailBytes);
+
+/** `message`'s tail with the value of its Observe option replaced. Precondition: the message carries one. Thread safe. */
+Bytes tailWithObserve(const CoapMessage &message, const uint8_t *data, size_t size, uint32_t sequence);
+
+/** One option of a message that a balancer makes itself. */
+struct CoapOption
+{
+    uint16_t number = 0;
+    Bytes value;
+};
+
+/** The shortest encoding of an unsigned option value (RFC 7252, 3.2). */
+Bytes optionValue(uint32_t number);
+Bytes optionValue(std::string_view text);
+
+/** Builds a whole message. Precondition: options sorted by number; token at most maxTokenBytes. Thread safe. */
+Bytes buildCoap(CoapType type, CoapCode code, uint16_t messageId, const Bytes &token, const std::vector<CoapOption> &options, std::string_view payload);
+
+} // namespace hornbeam
--- /dev/null
+++ b/src/peer/actions.h
@@ -0,0 +1,56 @@
+#pragma once
+
+// What decision code asks its surroundings to do. Decisions append actions; they are carried out after every lock is released.
+
+#include "peer/messages.h"
+
+#include <utility>
+#include <vector>
+
+namespace hornbeam {
+
+/** A packet for a caller (sent from the address of `service`) or for a target (sent from the target socket). */
+struct PacketOut
+{
+    ServiceId service = 0;
+    Endpoint endpoint;
+    Bytes packet;
+};
+
+/** A message for another member, or for this one, which then receives it as if it had come from outside. */
+struct MessageOut
+{
+    MemberId peer = 0;
+    PeerMessage message;
+};
+
+struct Actions
+{
+    std::vector<PacketOut> toCallers;
+    std::vector<PacketOut> toTargets;
+    std::vector<MessageOut> toPeers;   // one datagram each
+    std::vector<MessageOut> toStreams; // over the nghttp2 stream to the member, for what doesn't fit a datagram or must not be lost
+
+    void sendToCaller(ServiceId service, const Endpoint &caller, Bytes packet)
+    {
+        this->toCallers.push_back({ service, caller, std::move(packet) });
+    }
+    void sendToTarget(ServiceId service, const Endpoint &target, Bytes packet)
+    {
+        this->toTargets.push_back({ service, target, std::move(packet) });
+    }
+    void sendToPeer(MemberId peer, PeerMessage message)
+    {
+        this->toPeers.push_back({ peer, std::move(message) });
+    }
+    void sendToStream(MemberId peer, PeerMessage message)
+    {
+        this->toStreams.push_back({ peer, std::move(message) });
+    }
+    bool isEmpty() const
+    {
+        return this->toCallers.empty() && this->toTargets.empty() && this->toPeers.empty() && this->toStreams.empty();
+    }
+};
+
+} // namespace hornbeam
--- /dev/null
+++ b/src/slots/places.h
@@ -0,0 +1,52 @@
+#pragma once
+
+// How requests and feeds obtain a place at a target: a request slot or a connection place.
+
+#include "core/clock.h"
+#include "peer/actions.h"
+
+namespace hornbeam {
+
+/** A wish for a place. `request` is unique at this instance; those for feeds have the highest bit set. */
+struct PlaceWant
+{
+    uint64_t request = 0;
+    ServiceId service = 0;
+    PlaceKind kind = PlaceKind::Request;
+    uint64_t flow = 0;   // prefers the target that weighted rendezvous hashing gives this flow
+    Duration patience{}; // how long it may wait for a place
+    TargetId avoid = 0;  // a target that just failed it; 0 for none
+};
+
+struct Place
+{
+    uint64_t request = 0;
+    ServiceId service = 0;
+    ZoneId zone = 0;
+    TargetId target = 0;
+    Endpoint endpoint;
+};
+
+/** Hears what became of a wish. Called with no lock of the slots package held; from the thread that handled the message or tick. */
+class PlaceListener
+{
+public:
+    virtual ~PlaceListener() = default;
+    /** The place is held until PlaceClient::endPlace. */
+    virtual void placeGranted(const Place &place, Actions &out) = 0;
+    /** Nothing is held. `retryAfter` is a hint for the caller; zero when there is none. */
+    virtual void placeRefused(uint64_t request, Reason reason, Duration retryAfter, Actions &out) = 0;
+};
+
+/** Obtains places. All methods are thread safe. */
+class PlaceClient
+{
+public:
+    virtual ~PlaceClient() = default;
+    /** Asks for a place; the listener hears of exactly one outcome, not before this call returns, unless endPlace comes first. */
+    virtual void beginPlace(const PlaceWant &want, Actions &out) = 0;
+    /** Gives a place back, or withdraws a wish (outcome Cancelled). Unknown requests are ignored. */
+    virtual void endPlace(uint64_t request, SlotOutcome outcome, Duration latency, Actions &out) = 0;
+};
+
+} // namespace hornbeam
