--- /dev/null
+++ b/src/core/upstreamtoken.h
@@ -0,0 +1,42 @@
+#pragma once
+
+// Tokens of the exchanges that a balancer has with targets. The first byte says which part an answer belongs to.
+
+#include "core/types.h"
+
+namespace hornbeam {
+
+enum class TokenKind : uint8_t {
+    Request = 'R', // src/requests
+    Feed = 'F',    // src/feeds
+    Probe = 'P',   // src/slots
+};
+
+constexpr size_t upstreamTokenBytes = 8;
+constexpr uint64_t maxTokenNumber = (1ULL << 56) - 1;
+
+/** The 8-byte token of exchange `number` of a part. Precondition: number at most maxTokenNumber. Thread safe. */
+inline Bytes makeToken(TokenKind kind, uint64_t number)
+{
+    Bytes token(upstreamTokenBytes);
+    token[0] = static_cast<uint8_t>(kind);
+    for (size_t i = 1; i < upstreamTokenBytes; ++i) {
+        token[i] = static_cast<uint8_t>(number >> (8 * (upstreamTokenBytes - 1 - i)));
+    }
+    return token;
+}
+
+/** Reads a token made by makeToken. Returns false when it is of another kind or length. Thread safe. */
+inline bool readToken(const Bytes &token, TokenKind kind, uint64_t &number)
+{
+    if (token.size() != upstreamTokenBytes || token[0] != static_cast<uint8_t>(kind)) {
+        return false;
+    }
+    number = 0;
+    for (size_t i = 1; i < upstreamTokenBytes; ++i) {
+        number = (number << 8U) | token[i];
+    }
+    return true;
+}
+
+} // namespace hornbeam
