Membership: SWIM in the zone, digests between zones, rendezvous owners; sealed packets

Purpose: one view of who is alive, from which keepers and flow owners follow without election or lease. Contacts with other zones ride on probes as ages, so that one member's contact counts for all; each hop adds 10 ms, or an age told in circles would never grow. A dead or departed member that is heard of anew isn't learnt, else members would remind each other of it for ever. A member that its own zone leaves out of its lists for 10 s is dropped without being declared dead, since a newcomer's list is short. Ruled out: each member in contact with all zones (traffic), a list in several datagrams (a partial one says nothing of absence).

--- /dev/null
+++ b/src/membership/membership.cpp
@@ -0,0 +1,446 @@
+// Sections: construction and queries | messages | updates | ticks and probes | leaving
+
+#include "membership/membership.h"
+
+#include <algorithm>
+
+namespace hornbeam {
+
+namespace {
+
+constexpr unsigned sendsPerDoubling = 3; // a change is told this often for each doubling of the zone
+
+} // namespace
+
+//--- Construction and queries
+
+Membership::Membership(const MembershipSettings &settings, const MemberRecord &self, const Clock &clock, Counters &counters, uint64_t seed)
+    : settings(settings)
+    , clock(clock)
+    , own(self)
+    , table(self.zone, counters)
+    , contacts(settings.zoneSilence)
+    , random(seed)
+    , lastTick(clock.now())
+    , nextProbe(clock.now())
+    , nextDigest(clock.now())
+{
+    this->publish();
+}
+
+void Membership::addSeed(MemberId member, ZoneId zone, const Endpoint &peer)
+{
+    const std::lock_guard lock(this->mutex);
+    const bool isKnown = member == this->own.id || this->table.find(member) != nullptr;
+    if (isKnown || (this->seeds.size() >= this->settings.seedsKept && this->seeds.count(member) == 0)) {
+        return;
+    }
+    this->seeds[member] = Seed{ zone, peer };
+}
+
+std::optional<Endpoint> Membership::endpointOf(MemberId member) const
+{
+    const std::optional<MemberRecord> known = this->find(member);
+    if (known.has_value()) {
+        return known->peer;
+    }
+    const std::lock_guard lock(this->mutex);
+    const auto at = this->seeds.find(member);
+    return at == this->seeds.end() ? std::nullopt : std::optional<Endpoint>(at->second.peer);
+}
+
+void Membership::setTableDigest(uint64_t digest)
+{
+    const std::lock_guard lock(this->mutex);
+    this->tableDigest = digest;
+    this->tableDiffering.clear(); // compared with the digest that has just gone
+}
+
+std::vector<MemberId> Membership::takeTableDiffering()
+{
+    const std::lock_guard lock(this->mutex);
+    std::vector<MemberId> members(this->tableDiffering.begin(), this->tableDiffering.end());
+    this->tableDiffering.clear();
+    return members;
+}
+
+std::vector<MemberRecord> Membership::members() const
+{
+    return this->view.load()->records();
+}
+
+MemberRecord Membership::self() const
+{
+    return this->view.load()->self();
+}
+
+std::optional<MemberRecord> Membership::find(MemberId member) const
+{
+    return this->view.load()->find(member);
+}
+
+std::vector<MemberRecord> Membership::eligibleIn(ZoneId zone) const
+{
+    return this->view.load()->eligibleIn(zone);
+}
+
+std::vector<ZoneId> Membership::reachableZones() const
+{
+    return this->view.load()->reachableZones();
+}
+
+MemberId Membership::ownerIn(ZoneId zone, uint64_t key, size_t rank) const
+{
+    return this->view.load()->ownerIn(zone, key, rank);
+}
+
+MemberId Membership::flowOwner(uint64_t flow) const
+{
+    return this->view.load()->flowOwner(flow);
+}
+
+uint64_t Membership::viewVersion() const
+{
+    return this->view.load()->version();
+}
+
+void Membership::publish()
+{
+    std::vector<ZoneId> heard = this->contacts.reachable(this->clock.now());
+    heard.insert(std::lower_bound(heard.begin(), heard.end(), this->own.zone), this->own.zone);
+    if (!this->changed && heard == this->reachable) {
+        return;
+    }
+    std::vector<MemberRecord> records;
+    for (const auto &[member, entry] : this->table.all()) {
+        if (member > this->own.id && (records.empty() || records.back().id < this->own.id)) {
+            records.push_back(this->own);
+        }
+        records.push_back(entry.record);
+    }
+    if (records.empty() || records.back().id < this->own.id) {
+        records.push_back(this->own);
+    }
+    const auto before = this->view.load();
+    const uint64_t version = before == nullptr ? 1 : before->version() + 1;
+    this->view.store(std::make_shared<const MemberView>(this->own, std::move(records), heard, version));
+    this->reachable = std::move(heard);
+    this->changed = false;
+}
+
+//--- Messages
+
+void Membership::onMessage(const Ping &ping, Actions &out)
+{
+    const std::lock_guard lock(this->mutex);
+    if (!this->hearFrom(ping.sender, ping.tableDigest, out)) {
+        return;
+    }
+    this->updateFrom(ping.updates);
+    if (ping.sender.zone == this->own.zone) {
+        this->contacts.addReported(ping.contacts, this->clock.now());
+    }
+    if (ping.sender.state != MemberState::Left) {
+        const MemberId peer = ping.sender.id;
+        out.sendToPeer(peer, PingAck{ ping.sequence, this->own, this->tableDigest, this->updatesFor(peer), 0, this->contactsFor(peer) });
+    }
+    this->publish();
+}
+
+void Membership::onMessage(const PingAck &ack, Actions &out)
+{
+    const std::lock_guard lock(this->mutex);
+    if (!this->hearFrom(ack.sender, ack.tableDigest, out)) {
+        return;
+    }
+    this->updateFrom(ack.updates);
+    if (ack.sender.zone == this->own.zone) {
+        this->contacts.addReported(ack.contacts, this->clock.now());
+    }
+    const MemberId answerer = ack.subject == 0 ? ack.sender.id : ack.subject;
+    if (ack.sequence == this->probe.sequence && answerer == this->probe.subject) {
+        this->probe.subject = 0;
+    }
+    const auto at = std::find_if(this->indirect.begin(), this->indirect.end(), [&ack](const IndirectProbe &made) { return made.sequence == ack.sequence; });
+    if (at != this->indirect.end() && ack.subject == 0) {
+        const MemberId asker = at->asker;
+        out.sendToPeer(asker, PingAck{ at->askerSequence, this->own, this->tableDigest, { ack.sender }, ack.sender.id, this->contactsFor(asker) });
+        this->indirect.erase(at);
+    }
+    this->publish();
+}
+
+void Membership::onMessage(const PingRequest &request, Actions &out)
+{
+    const std::lock_guard lock(this->mutex);
+    if (!this->hearFrom(request.sender, this->tableDigest, out)) {
+        return;
+    }
+    this->updateRecord(request.subject);
+    if (this->table.find(request.subject.id) != nullptr) {
+        const uint64_t sequence = this->nextSequence++;
+        this->indirect.push_back(IndirectProbe{ sequence, request.sender.id, request.sequence, this->clock.now() });
+        this->sendPing(request.subject.id, sequence, out);
+    }
+    this->publish();
+}
+
+//--- Updates
+
+/** Takes in the sender of a message. Returns false when nothing is taken in any more, or the message is our own. */
+bool Membership::hearFrom(const MemberRecord &sender, uint64_t digest, Actions &out)
+{
+    if (this->own.state == MemberState::Left || sender.id == this->own.id || sender.id == 0) {
+        return false;
+    }
+    this->updateRecord(sender);
+    if (sender.zone != this->own.zone) {
+        this->contacts.addDirect(sender.zone, this->clock.now());
+    } else if (!this->isListed && isLive(sender.state)) {
+        this->askForList(sender.id, sender.zone, out);
+    }
+    const MemberEntry *entry = this->table.find(sender.id);
+    const bool isRunning = entry != nullptr && isLive(entry->record.state);
+    if (digest == this->tableDigest || !isRunning) {
+        this->tableDiffering.erase(sender.id);
+    } else {
+        this->tableDiffering.insert(sender.id);
+    }
+    return true;
+}
+
+void Membership::updateFrom(const std::vector<MemberRecord> &records)
+{
+    for (const MemberRecord &record : records) {
+        this->updateRecord(record);
+    }
+}
+
+void Membership::updateRecord(const MemberRecord &record)
+{
+    if (record.id == this->own.id) {
+        this->refute(record);
+        return;
+    }
+    if (record.id == 0 || !this->table.update(record, this->clock.now())) {
+        return;
+    }
+    this->seeds.erase(record.id);
+    this->changed = true;
+}
+
+/** Corrects what others believe of this member by a higher revision. */
+void Membership::refute(const MemberRecord &record)
+{
+    if (record.incarnation > this->own.incarnation) {
+        this->own.incarnation = record.incarnation + 1; // the wall clock was stepped back between two lives
+        this->changed = true;
+        return;
+    }
+    const bool isOlder = record.incarnation < this->own.incarnation || record.revision < this->own.revision;
+    if (isOlder || (record.revision == this->own.revision && record.state == this->own.state)) {
+        return;
+    }
+    this->own.revision = record.revision + 1;
+    this->changed = true;
+}
+
+std::vector<MemberRecord> Membership::updatesFor(MemberId peer)
+{
+    std::vector<MemberRecord> updates;
+    const MemberEntry *entry = this->table.find(peer);
+    if (entry != nullptr && entry->record.state != MemberState::Alive) {
+        updates.push_back(entry->record); // so that it can refute
+    }
+    if (entry == nullptr || entry->record.zone != this->own.zone) {
+        return updates; // other zones learn by digests
+    }
+    for (const MemberRecord &record : this->table.takeUpdates(this->settings.updatesPerMessage, this->updateSends())) {
+        if (record.id != peer) {
+            updates.push_back(record);
+        }
+    }
+    return updates;
+}
+
+std::vector<ZoneContact> Membership::contactsFor(MemberId peer) const
+{
+    const MemberEntry *entry = this->table.find(peer);
+    const bool isOwnZone = entry != nullptr && entry->record.zone == this->own.zone;
+    return isOwnZone ? this->contacts.report(this->clock.now()) : std::vector<ZoneContact>();
+}
+
+unsigned Membership::updateSends() const
+{
+    unsigned doublings = 1;
+    for (size_t members = this->table.all().size(); members > 1; members /= 2) {
+        ++doublings;
+    }
+    return sendsPerDoubling * doublings;
+}
+
+void Membership::sendPing(MemberId peer, uint64_t sequence, Actions &out)
+{
+    out.sendToPeer(peer, Ping{ sequence, this->own, this->tableDigest, this->updatesFor(peer), this->contactsFor(peer) });
+}
+
+//--- Ticks and probes
+
+void Membership::tick(Actions &out)
+{
+    const std::lock_guard lock(this->mutex);
+    if (this->own.state == MemberState::Left) {
+        return;
+    }
+    const TimePoint now = this->clock.now();
+    this->noticePause(now);
+    this->checkProbe(now, out);
+    if (now >= this->nextProbe) {
+        this->nextProbe = now + this->settings.probeInterval;
+        this->beginProbe(now, out);
+    }
+    this->changed = this->table.endSuspicions(now - this->settings.suspicion, now) || this->changed;
+    this->changed = this->table.forgetGone(now - this->settings.goneKept) || this->changed;
+    if (now >= this->nextDigest) {
+        this->nextDigest = now + this->settings.digestInterval;
+        this->listsLeft = this->settings.listsPerSecond;
+        this->tellZone(out);
+        this->contactSeeds(out);
+    }
+    this->publish();
+}
+
+/** After a pause of this process its unanswered probes say nothing about others. */
+void Membership::noticePause(TimePoint now)
+{
+    const Duration pause = now - this->lastTick;
+    this->lastTick = now;
+    if (pause <= this->settings.pauseBound) {
+        return;
+    }
+    this->probe.subject = 0;
+    this->indirect.clear();
+    this->table.delaySuspicions(pause);
+    this->contacts.delay(pause, now);
+}
+
+void Membership::checkProbe(TimePoint now, Actions &out)
+{
+    const Duration indirectKept = this->settings.probeInterval;
+    std::erase_if(this->indirect, [now, indirectKept](const IndirectProbe &made) { return now - made.sentAt > indirectKept; });
+    if (this->probe.subject == 0) {
+        return;
+    }
+    const Duration waited = now - this->probe.sentAt;
+    if (waited >= this->settings.probeInterval) {
+        this->changed = this->table.beginSuspicion(this->probe.subject, now) || this->changed;
+        this->sendPing(this->probe.subject, this->nextSequence++, out); // it may still refute
+        this->probe.subject = 0;
+    } else if (waited >= this->settings.probeTimeout && !this->probe.asked) {
+        this->probe.asked = true;
+        this->askOthers(out);
+    }
+}
+
+void Membership::beginProbe(TimePoint now, Actions &out)
+{
+    const MemberId subject = this->nextToProbe();
+    if (subject == 0 || this->probe.subject != 0) {
+        return;
+    }
+    this->probe = Probe{ this->nextSequence++, subject, now, false };
+    this->sendPing(subject, this->probe.sequence, out);
+}
+
+/** The next one of a shuffled round over the zone's live members; 0 when there is none. */
+MemberId Membership::nextToProbe()
+{
+    for (int round = 0; round < 2; ++round) {
+        while (this->probeAt < this->probeOrder.size()) {
+            const MemberId candidate = this->probeOrder[this->probeAt++];
+            const MemberEntry *entry = this->table.find(candidate);
+            if (entry != nullptr && isLive(entry->record.state)) {
+                return candidate;
+            }
+        }
+        this->probeOrder.clear();
+        for (const MemberRecord &record : this->table.liveIn(this->own.zone)) {
+            this->probeOrder.push_back(record.id);
+        }
+        std::shuffle(this->probeOrder.begin(), this->probeOrder.end(), this->random);
+        this->probeAt = 0;
+    }
+    return 0;
+}
+
+void Membership::askOthers(Actions &out)
+{
+    const MemberEntry *subject = this->table.find(this->probe.subject);
+    if (subject == nullptr) {
+        return;
+    }
+    std::vector<MemberId> helpers;
+    for (const MemberRecord &record : this->table.liveIn(this->own.zone)) {
+        if (record.id != this->probe.subject) {
+            helpers.push_back(record.id);
+        }
+    }
+    for (const MemberId helper : this->someOf(std::move(helpers), this->settings.indirectProbes)) {
+        out.sendToPeer(helper, PingRequest{ this->probe.sequence, this->own, subject->record });
+    }
+}
+
+std::vector<MemberId> Membership::someOf(std::vector<MemberId> candidates, size_t most)
+{
+    std::shuffle(candidates.begin(), candidates.end(), this->random);
+    if (candidates.size() > most) {
+        candidates.resize(most);
+    }
+    return candidates;
+}
+
+//--- Leaving
+
+void Membership::beginLeave(Actions &out)
+{
+    const std::lock_guard lock(this->mutex);
+    if (this->own.state != MemberState::Alive) {
+        return;
+    }
+    this->own.state = MemberState::Leaving;
+    ++this->own.revision;
+    this->changed = true;
+    this->sendPingsToSeveral(this->settings.leaveNotices, out);
+    this->publish();
+}
+
+void Membership::endLeave(Actions &out)
+{
+    const std::lock_guard lock(this->mutex);
+    if (this->own.state == MemberState::Left) {
+        return;
+    }
+    this->own.state = MemberState::Left;
+    ++this->own.revision;
+    this->changed = true;
+    this->sendPingsToSeveral(this->settings.leaveNotices, out);
+    this->publish();
+}
+
+/** Tells some members of the own zone and one of each other zone. */
+void Membership::sendPingsToSeveral(size_t most, Actions &out)
+{
+    std::map<ZoneId, std::vector<MemberId>> byZone;
+    for (const auto &[member, entry] : this->table.all()) {
+        if (isLive(entry.record.state)) {
+            byZone[entry.record.zone].push_back(member);
+        }
+    }
+    for (auto &[zone, members] : byZone) {
+        for (const MemberId member : this->someOf(std::move(members), zone == this->own.zone ? most : 1)) {
+            this->sendPing(member, this->nextSequence++, out);
+        }
+    }
+}
+
+} // namespace hornbeam
--- /dev/null
+++ b/src/membership/membership.h
@@ -0,0 +1,173 @@
+#pragma once
+
+// Who is alive, in the own zone and in others. SWIM within the zone (Das, Gupta, Motivala, "SWIM: Scalable Weakly-consistent
+// Infection-style Process Group Membership Protocol", DSN 2002): each member probes one other per interval, indirectly when it doesn't
+// answer, suspects it, and declares it dead unless it refutes. Changes ride along on probes. Zones tell each other a hash over their
+// members, and the list when hashes differ.
+//
+// Control traffic of a member, in bytes a second without changes: 2 probes and 2 answers of about 65 bytes, 10 more for each other zone,
+// and one digest of about 70 bytes. It doesn't grow with the zone; changes add at most `updatesPerMessage` records of about 38
+// bytes to each of the four messages, so that it stays under 4 KB. A list is 38 bytes for each member of the zone, sent
+// `listsPerSecond` times a second at most. tests/membership_test.cpp bounds it at 9 and at 81 members.
+//
+// Sections: settings | membership
+
+#include "core/clock.h"
+#include "core/counters.h"
+#include "membership/membertable.h"
+#include "membership/memberview.h"
+#include "membership/zonecontacts.h"
+#include "peer/actions.h"
+#include "peer/directory.h"
+
+#include <atomic>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <random>
+#include <set>
+
+namespace hornbeam {
+
+//--- Settings
+
+struct MembershipSettings
+{
+    Duration probeInterval = milliseconds(500);   // ms, 100 to 5000: one member is probed in each
+    Duration probeTimeout = milliseconds(200);    // ms, under probeInterval: then others are asked to probe
+    size_t indirectProbes = 3;                    // members, 1 to 10
+    Duration suspicion = milliseconds(1500);      // ms, 500 to 30000: time to refute
+    Duration digestInterval = milliseconds(1000); // ms, 200 to 10000: one zone is told in each
+    Duration zoneSilence = milliseconds(5000);    // ms, above 3 digest intervals: then a zone is unreachable
+    Duration goneKept = seconds(300);             // s, 10 to 3600: how long dead and departed members are remembered
+    Duration missingKept = seconds(10);           // s, 2 to 300: how long a member stays that its own zone doesn't list
+    Duration pauseBound = milliseconds(250);      // ms, above 2 ticks: a later tick means that this process stood still
+    size_t updatesPerMessage = 16;                // records, 4 to 24: keeps a datagram under 1200 bytes
+    size_t listRecordsPerDatagram = 28;           // records, up to 28: longer lists go over a stream
+    size_t listsPerSecond = 2;                    // lists, 1 to 10: how many are sent
+    size_t seedsContacted = 3;                    // seeds, 1 to 10: contacted per digest interval until they answer
+    size_t leaveNotices = 8;                      // members, 1 to 20: told at once when this one leaves
+    size_t seedsKept = 1024;                      // seeds that have not answered yet
+};
+
+//--- Membership
+
+/** The member directory of one process. All methods are thread safe; none waits for anything but the own mutex. */
+class Membership final : public MemberDirectory
+{
+public:
+    /** Precondition: `self` is Alive and has an identifier, a zone, an endpoint and an incarnation; `clock` and `counters` outlive this. */
+    Membership(const MembershipSettings &settings, const MemberRecord &self, const Clock &clock, Counters &counters, uint64_t seed);
+
+    /** Adds an instance that the platform lists, of any zone. It is contacted, and counts as a member once it answers. May be repeated. */
+    void addSeed(MemberId member, ZoneId zone, const Endpoint &peer);
+    /** Where to send a message for a member or a seed; nothing when it is neither. */
+    std::optional<Endpoint> endpointOf(MemberId member) const;
+
+    void onMessage(const Ping &ping, Actions &out);
+    void onMessage(const PingAck &ack, Actions &out);
+    void onMessage(const PingRequest &request, Actions &out);
+    void onMessage(const ZoneDigest &digest, Actions &out);
+    /** Sends what is due and ends what timed out. Precondition: called about every 50 ms; a gap above `pauseBound` counts as a pause of this process. */
+    void tick(Actions &out);
+
+    /** Starts to leave: this member owns nothing new, and several members are told at once. */
+    void beginLeave(Actions &out);
+    /** Ends the membership; several members are told. Nothing is sent or taken in afterwards. */
+    void endLeave(Actions &out);
+
+    /** The hash over the table versions in force here, told to others. */
+    void setTableDigest(uint64_t digest);
+    /** The members heard from since the last call whose table digest differs from ours. */
+    std::vector<MemberId> takeTableDiffering();
+    /** All records, sorted by identifier, for dumps. */
+    std::vector<MemberRecord> members() const;
+
+    MemberRecord self() const override;
+    std::optional<MemberRecord> find(MemberId member) const override;
+    std::vector<MemberRecord> eligibleIn(ZoneId zone) const override;
+    std::vector<ZoneId> reachableZones() const override;
+    MemberId ownerIn(ZoneId zone, uint64_t key, size_t rank) const override;
+    MemberId flowOwner(uint64_t flow) const override;
+    uint64_t viewVersion() const override;
+
+private:
+    /** A probe in flight. */
+    struct Probe
+    {
+        uint64_t sequence = 0;
+        MemberId subject = 0; // 0 when none is in flight
+        TimePoint sentAt;
+        bool asked = false; // others were asked to probe it
+    };
+    /** A probe made for another member. */
+    struct IndirectProbe
+    {
+        uint64_t sequence = 0;
+        MemberId asker = 0;
+        uint64_t askerSequence = 0;
+        TimePoint sentAt;
+    };
+    struct Seed
+    {
+        ZoneId zone = 0;
+        Endpoint peer;
+    };
+
+    // all below: precondition is that the mutex is held
+    bool hearFrom(const MemberRecord &sender, uint64_t digest, Actions &out);
+    void updateFrom(const std::vector<MemberRecord> &records);
+    void updateRecord(const MemberRecord &record);
+    void refute(const MemberRecord &record);
+    void sendPing(MemberId peer, uint64_t sequence, Actions &out);
+    void sendPingsToSeveral(size_t most, Actions &out);
+    std::vector<MemberRecord> updatesFor(MemberId peer);
+    std::vector<ZoneContact> contactsFor(MemberId peer) const;
+    unsigned updateSends() const;
+
+    void noticePause(TimePoint now);
+    void checkProbe(TimePoint now, Actions &out);
+    void beginProbe(TimePoint now, Actions &out);
+    void askOthers(Actions &out);
+    MemberId nextToProbe();
+
+    void tellZone(Actions &out);
+    void contactSeeds(Actions &out);
+    void sendList(MemberId peer, Actions &out);
+    void askForList(MemberId peer, ZoneId zone, Actions &out);
+    ZoneDigest makeDigest() const;
+    uint64_t ownZoneHash() const;
+    std::vector<MemberId> someOf(std::vector<MemberId> candidates, size_t most);
+    void publish();
+
+    MembershipSettings settings;
+    const Clock &clock;
+
+    mutable std::mutex mutex; // guards all below but `view`
+    MemberRecord own;
+    MemberTable table;
+    ZoneContacts contacts;
+    std::map<MemberId, Seed> seeds; // those not known as members
+    std::mt19937_64 random;
+    uint64_t tableDigest = 0;
+    std::set<MemberId> tableDiffering;
+    bool changed = true;   // the view has to be built anew
+    bool isListed = false; // a list of the own zone has arrived
+    std::vector<ZoneId> reachable;
+
+    uint64_t nextSequence = 1;
+    Probe probe;
+    std::vector<IndirectProbe> indirect;
+    std::vector<MemberId> probeOrder;
+    size_t probeAt = 0;
+    TimePoint lastTick;
+    TimePoint nextProbe;
+    TimePoint nextDigest;
+    size_t nextZone = 0;
+    size_t listsLeft = 0;                  // until the next digest interval
+    std::map<ZoneId, TimePoint> listAsked; // when a zone was last asked for its list
+
+    std::atomic<std::shared_ptr<const MemberView>> view;
+};
+
+} // namespace hornbeam
--- /dev/null
+++ b/src/membership/memberview.h
@@ -0,0 +1,69 @@
+#pragma once
+
+// One immutable view of the members, and the rendezvous hashing over it. Built at each change, read by all workers without a lock.
+
+#include "peer/messages.h"
+
+#include <optional>
+#include <vector>
+
+namespace hornbeam {
+
+/** The eligible members of one zone. */
+struct ZoneView
+{
+    ZoneId zone = 0;
+    bool reachable = false;             // heard of lately, or the own zone
+    std::vector<MemberRecord> eligible; // sorted by identifier
+};
+
+/** All methods are const, allocate nothing unless they return a list, and are thread safe. */
+class MemberView
+{
+public:
+    MemberView() = default;
+    /** Precondition: `records` are sorted by identifier and hold `self`; `reachable` is sorted. */
+    MemberView(const MemberRecord &self, std::vector<MemberRecord> records, const std::vector<ZoneId> &reachable, uint64_t version);
+
+    const MemberRecord &self() const
+    {
+        return this->own;
+    }
+    uint64_t version() const
+    {
+        return this->number;
+    }
+    const std::vector<MemberRecord> &records() const
+    {
+        return this->members;
+    }
+    std::optional<MemberRecord> find(MemberId member) const;
+    std::vector<MemberRecord> eligibleIn(ZoneId zone) const;
+    std::vector<ZoneId> reachableZones() const;
+    /** The member with the `rank`-th highest hash of (key, member); 0 when there are fewer. */
+    MemberId ownerIn(ZoneId zone, uint64_t key, size_t rank) const;
+    /** Weighted rendezvous over the reachable zones by their number of eligible members, then over the members of that zone. */
+    MemberId flowOwner(uint64_t flow) const;
+
+private:
+    const ZoneView *zoneView(ZoneId zone) const;
+
+    MemberRecord own;
+    std::vector<MemberRecord> members;
+    std::vector<ZoneView> zones; // sorted by zone
+    uint64_t number = 0;
+};
+
+/** Whether a member may own something. Thread safe. */
+constexpr bool isEligible(MemberState state)
+{
+    return state == MemberState::Alive || state == MemberState::Suspect;
+}
+
+/** Whether a member takes part in gossip: it is or may be running. Thread safe. */
+constexpr bool isLive(MemberState state)
+{
+    return isEligible(state) || state == MemberState::Leaving;
+}
+
+} // namespace hornbeam
--- /dev/null
+++ b/src/membership/zonecontacts.cpp
@@ -0,0 +1,71 @@
+#include "membership/zonecontacts.h"
+
+#include <algorithm>
+
+namespace hornbeam {
+
+namespace {
+
+constexpr Duration hopAge = milliseconds(10);            // added for each hop: more than a datagram takes, or a contact told in circles would never age
+constexpr Duration graceAfterPause = milliseconds(2000); // a few probes with members that did not pause
+
+} // namespace
+
+ZoneContacts::ZoneContacts(Duration silence) : silence(silence)
+{
+}
+
+void ZoneContacts::addDirect(ZoneId zone, TimePoint now)
+{
+    this->heard[zone] = now;
+}
+
+void ZoneContacts::addReported(const std::vector<ZoneContact> &contacts, TimePoint now)
+{
+    for (const ZoneContact &contact : contacts) {
+        const Duration age = milliseconds(contact.ageMs) + hopAge;
+        if (age >= this->silence) {
+            continue;
+        }
+        const auto [at, isNew] = this->heard.emplace(contact.zone, now - age);
+        if (!isNew) {
+            at->second = std::max(at->second, now - age);
+        }
+    }
+}
+
+void ZoneContacts::delay(Duration pause, TimePoint now)
+{
+    const Duration grace = std::min(graceAfterPause, this->silence);
+    for (auto &[zone, at] : this->heard) {
+        const bool wasReachable = now - pause - at < this->silence;
+        if (wasReachable) {
+            at = std::max(at, now - this->silence + grace);
+        }
+    }
+}
+
+std::vector<ZoneContact> ZoneContacts::report(TimePoint now) const
+{
+    std::vector<ZoneContact> contacts;
+    for (const auto &[zone, at] : this->heard) {
+        const Duration age = now - at;
+        if (age < this->silence) {
+            contacts.push_back(ZoneContact{ zone, static_cast<uint32_t>(std::chrono::duration_cast<milliseconds>(age).count()) });
+        }
+    }
+    return contacts;
+}
+
+std::vector<ZoneId> ZoneContacts::reachable(TimePoint now) const
+{
+    std::vector<ZoneId> zones;
+    for (const auto &[zone, at] : this->heard) {
+        if (now - at < this->silence) {
+            zones.push_back(zone);
+        }
+    }
+    return zones;
+}
+
+} // namespace hornbeam
--- /dev/null
+++ b/src/membership/zonecontacts.h
@@ -0,0 +1,35 @@
+#pragma once
+
+// When each other zone was last heard of, by this member or by another one of its zone that told it. Not thread safe: Membership guards it.
+
+#include "core/clock.h"
+#include "peer/messages.h"
+
+#include <map>
+
+namespace hornbeam {
+
+class ZoneContacts
+{
+public:
+    /** A zone counts as reachable until nothing was heard of it for `silence`. */
+    explicit ZoneContacts(Duration silence);
+
+    /** A datagram or stream message of a member of `zone` arrived. */
+    void addDirect(ZoneId zone, TimePoint now);
+    /** Another member of the own zone says when it heard of other zones. */
+    void addReported(const std::vector<ZoneContact> &contacts, TimePoint now);
+    /** After a pause of this process: gives each zone that was reachable the short time in which others report their contacts. */
+    void delay(Duration pause, TimePoint now);
+
+    /** What to tell the members of the own zone: the zones that are reachable. */
+    std::vector<ZoneContact> report(TimePoint now) const;
+    /** The zones heard of within the silence, sorted. */
+    std::vector<ZoneId> reachable(TimePoint now) const;
+
+private:
+    Duration silence;
+    std::map<ZoneId, TimePoint> heard;
+};
+
+} // namespace hornbeam
--- a/src/peer/messages.h
+++ b/src/peer/messages.h
@@ -43,6 +43,19 @@
     }
 };
 
+/** How long ago the sender's zone heard of another zone. */
+struct ZoneContact
+{
+    ZoneId zone = 0;
+    uint32_t ageMs = 0;
+
+    template<typename Visitor>
+    void visitFields(Visitor &visit)
+    {
+        visit(this->zone, this->ageMs);
+    }
+};
+
 /** A probe. The updates ride along. */
 struct Ping
 {
@@ -50,11 +63,12 @@
     MemberRecord sender;
     uint64_t tableDigest = 0; // hash over all table versions in force at the sender
     std::vector<MemberRecord> updates;
+    std::vector<ZoneContact> contacts;
 
     template<typename Visitor>
     void visitFields(Visitor &visit)
     {
-        visit(this->sequence, this->sender, this->tableDigest, this->updates);
+        visit(this->sequence, this->sender, this->tableDigest, this->updates, this->contacts);
     }
 };
 
@@ -66,11 +80,12 @@
     uint64_t tableDigest = 0;
     std::vector<MemberRecord> updates;
     MemberId subject = 0;
+    std::vector<ZoneContact> contacts;
 
     template<typename Visitor>
     void visitFields(Visitor &visit)
     {
-        visit(this->sequence, this->sender, this->tableDigest, this->updates, this->subject);
+        visit(this->sequence, this->sender, this->tableDigest, this->updates, this->subject, this->contacts);
     }
 };
 
--- /dev/null
+++ b/src/peer/seal.cpp
@@ -0,0 +1,39 @@
+#include "peer/seal.h"
+
+namespace hornbeam {
+
+PacketSealer::PacketSealer(std::vector<Bytes> keys) : ring(std::move(keys))
+{
+}
+
+Bytes PacketSealer::seal(Bytes message) const
+{
+    message.reserve(message.size() + sealBytes);
+    message.push_back(sealVersion);
+    const uint64_t signature = this->ring.sign(message.data(), message.size());
+    for (size_t i = 0; i < signatureBytes; ++i) {
+        message.push_back(static_cast<uint8_t>(signature >> (8 * (signatureBytes - 1 - i))));
+    }
+    return message;
+}
+
+std::optional<Bytes> PacketSealer::open(const uint8_t *data, size_t size) const
+{
+    if (size < sealBytes) {
+        return std::nullopt;
+    }
+    const size_t signedBytes = size - signatureBytes;
+    if (data[signedBytes - 1] != sealVersion) {
+        return std::nullopt;
+    }
+    uint64_t signature = 0;
+    for (size_t i = signedBytes; i < size; ++i) {
+        signature = (signature << 8U) | data[i];
+    }
+    if (!this->ring.verify(data, signedBytes, signature)) {
+        return std::nullopt;
+    }
+    return Bytes(data, data + signedBytes - 1);
+}
+
+} // namespace hornbeam
--- /dev/null
+++ b/tests/membership_test.cpp
@@ -0,0 +1,282 @@
+#include "membershipnet.h"
+
+#include <catch2/catch.hpp>
+#include <set>
+
+using namespace hornbeam;
+
+namespace {
+
+constexpr ZoneId here = 1;
+constexpr ZoneId there = 2;
+
+void fill(MembershipNet &net, ZoneId zone, size_t count)
+{
+    for (size_t i = 0; i < count; ++i) {
+        net.add(zone);
+    }
+}
+
+/** The most that any member sent, in bytes a second. */
+double mostSent(MembershipNet &net, Duration time)
+{
+    for (const auto &node : net.nodes) {
+        node->bytesSent = 0;
+    }
+    net.run(time);
+    uint64_t most = 0;
+    for (const auto &node : net.nodes) {
+        most = std::max(most, node->bytesSent);
+    }
+    return static_cast<double>(most) / std::chrono::duration<double>(time).count();
+}
+
+} // namespace
+
+TEST_CASE("members of a zone find each other and notice each end")
+{
+    MembershipNet net;
+    fill(net, here, 9);
+    REQUIRE(net.runUntil(seconds(10), [&] { return net.agree(9); }) < seconds(10));
+
+    SECTION("a newcomer that knows the others only as seeds is known by all, and counted by none before it answers")
+    {
+        CHECK_FALSE(net.at(0).find(12345).has_value());
+        net.at(0).addSeed(12345, here, Endpoint{ 1, 1 });
+        CHECK_FALSE(net.at(0).find(12345).has_value());
+        CHECK(net.at(0).endpointOf(12345) == Endpoint{ 1, 1 });
+        net.add(here);
+        CHECK(net.runUntil(seconds(5), [&] { return net.agree(10); }) < seconds(5));
+    }
+    SECTION("a member that dies is gone everywhere within probing and suspicion")
+    {
+        net.nodes[3]->stopped = true;
+        // a full round of probes would be 8 intervals; the first of 8 probers comes sooner
+        const Duration bound = 4 * net.settings.probeInterval + net.settings.suspicion + seconds(2);
+        CHECK(net.runUntil(bound, [&] { return net.agree(8); }) < bound);
+        CHECK(net.stateAt(0, 3) == MemberState::Dead);
+        CHECK(net.nodes[0]->counters.value(Counter::MembersFailed) == 1);
+
+        SECTION("and is forgotten in the end")
+        {
+            net.run(net.settings.goneKept + seconds(5));
+            CHECK_FALSE(net.at(0).find(net.idOf(3)).has_value());
+        }
+        SECTION("until a new process of it starts")
+        {
+            net.start(3);
+            CHECK(net.runUntil(seconds(5), [&] { return net.agree(9); }) < seconds(5));
+        }
+    }
+    SECTION("a process that restarts at once replaces its old life")
+    {
+        const Incarnation before = net.at(0).find(net.idOf(3))->incarnation;
+        net.run(milliseconds(20));
+        net.start(3);
+        const auto isReplaced = [&] { return net.at(0).find(net.idOf(3))->incarnation > before; };
+        CHECK(net.runUntil(seconds(5), isReplaced) < seconds(5));
+        CHECK(net.nodes[0]->counters.value(Counter::MembersFailed) == 1);
+        CHECK(net.agree(9));
+    }
+    SECTION("one whose link to a prober is cut is saved by indirect probes")
+    {
+        net.isLost = [](size_t from, size_t to) { return (from == 0 && to == 1) || (from == 1 && to == 0); };
+        net.run(seconds(60));
+        CHECK(net.agree(9));
+        CHECK(net.nodes[0]->counters.value(Counter::MembersSuspected) == 0);
+    }
+    SECTION("one that is suspected refutes by a higher revision")
+    {
+        MemberRecord suspect = *net.at(0).find(net.idOf(1));
+        suspect.state = MemberState::Suspect;
+        Actions out;
+        net.at(0).onMessage(Ping{ 1, *net.at(0).find(net.idOf(2)), 0, { suspect }, {} }, out);
+        CHECK(net.stateAt(0, 1) == MemberState::Suspect);
+        CHECK(net.at(0).eligibleIn(here).size() == 9); // a suspect still owns
+        net.run(seconds(5));
+        CHECK(net.stateAt(0, 1) == MemberState::Alive);
+        CHECK(net.at(0).find(net.idOf(1))->revision > suspect.revision);
+        CHECK(net.agree(9));
+    }
+    SECTION("one that was frozen, declared dead and wakes up is a member again and accuses nobody")
+    {
+        net.nodes[4]->frozen = true;
+        net.run(seconds(20));
+        CHECK(net.stateAt(0, 4) == MemberState::Dead);
+        net.nodes[4]->frozen = false;
+        CHECK(net.runUntil(seconds(5), [&] { return net.agree(9); }) < seconds(5));
+        net.run(seconds(5));
+        CHECK(net.at(0).find(net.idOf(4))->revision > 0);
+        CHECK(net.nodes[4]->counters.value(Counter::MembersSuspected) == 0);
+    }
+    SECTION("one that leaves owns nothing, and never comes back in that life")
+    {
+        Actions out;
+        net.at(5).beginLeave(out);
+        net.send(5, out);
+        CHECK(net.at(5).eligibleIn(here).size() == 8); // not even for itself
+        CHECK(net.runUntil(seconds(2), [&] { return net.agree(8); }) < seconds(2));
+        CHECK(net.stateAt(0, 5) == MemberState::Leaving);
+
+        net.run(seconds(30));
+        CHECK(net.stateAt(0, 5) == MemberState::Leaving); // still probed and known
+
+        Actions last;
+        net.at(5).endLeave(last);
+        net.send(5, last);
+        net.run(seconds(3));
+        CHECK(net.stateAt(0, 5) == MemberState::Left);
+        MemberRecord late = *net.at(0).find(net.idOf(5));
+        late.state = MemberState::Alive;
+        late.revision += 5;
+        Actions ignored;
+        net.at(0).onMessage(Ping{ 1, late, 0, {}, {} }, ignored);
+        CHECK(net.stateAt(0, 5) == MemberState::Left);
+    }
+    SECTION("a leaving one that dies is declared dead too")
+    {
+        Actions out;
+        net.at(5).beginLeave(out);
+        net.send(5, out);
+        net.run(seconds(1));
+        net.nodes[5]->stopped = true;
+        net.run(seconds(8));
+        CHECK(net.stateAt(0, 5) == MemberState::Dead);
+    }
+    SECTION("table digests that differ are told once")
+    {
+        net.at(1).setTableDigest(99);
+        net.run(seconds(10));
+        CHECK(net.at(0).takeTableDiffering() == std::vector<MemberId>{ net.idOf(1) });
+        CHECK(net.at(0).takeTableDiffering().empty());
+    }
+    SECTION("a zone that was split in two is one again")
+    {
+        net.isLost = [](size_t from, size_t to) { return (from < 4) != (to < 4); };
+        SECTION("after a short while by what members remember")
+        {
+            net.run(seconds(30));
+        }
+        SECTION("after the dead are forgotten by the platform's list")
+        {
+            net.run(net.settings.goneKept + seconds(30));
+            CHECK_FALSE(net.at(0).find(net.idOf(8)).has_value());
+            net.at(0).addSeed(net.idOf(8), here, net.nodes[8]->record.peer);
+        }
+        CHECK(net.eligibleAt(0) == 4);
+        CHECK(net.eligibleAt(8) == 5);
+        net.isLost = [](size_t, size_t) { return false; };
+        CHECK(net.runUntil(seconds(20), [&] { return net.agree(9); }) < seconds(20));
+    }
+    SECTION("with a tenth of all datagrams lost nobody is declared dead")
+    {
+        std::mt19937_64 random(5);
+        net.isLost = [&random](size_t, size_t) { return random() % 10 == 0; };
+        net.run(seconds(120));
+        for (const auto &node : net.nodes) {
+            CHECK(node->counters.value(Counter::MembersFailed) == 0);
+        }
+    }
+}
+
+TEST_CASE("zones know each other's members")
+{
+    MembershipNet net;
+    fill(net, here, 4);
+    fill(net, there, 5);
+    REQUIRE(net.runUntil(seconds(15), [&] { return net.agree(9); }) < seconds(15));
+    CHECK(net.at(0).reachableZones() == std::vector<ZoneId>{ here, there });
+
+    SECTION("a death there is known here")
+    {
+        net.nodes[6]->stopped = true;
+        CHECK(net.runUntil(seconds(15), [&] { return net.agree(8); }) < seconds(15));
+    }
+    SECTION("with one member in contact the zone is reachable for all")
+    {
+        net.isLost = [](size_t from, size_t to) { return (from < 4) != (to < 4) && from != 0 && to != 0; };
+        net.run(seconds(30));
+        for (size_t i = 0; i < 9; ++i) {
+            CHECK(net.at(i).reachableZones().size() == 2);
+        }
+    }
+    SECTION("a cut makes it unreachable for all within two seconds of each other, and a mend undoes it")
+    {
+        net.isLost = [](size_t from, size_t to) { return (from < 4) != (to < 4); };
+        const auto unreachable = [&] {
+            size_t count = 0;
+            for (size_t i = 0; i < 4; ++i) {
+                count += net.at(i).reachableZones().size() == 1 ? 1 : 0;
+            }
+            return count;
+        };
+        REQUIRE(net.runUntil(seconds(10), [&] { return unreachable() > 0; }) < seconds(10));
+        CHECK(net.runUntil(seconds(2), [&] { return unreachable() == 4; }) < seconds(2));
+        for (uint64_t flow = 0; flow < 100; ++flow) {
+            CHECK(net.at(0).find(net.at(0).flowOwner(flow))->zone == here);
+        }
+        net.nodes[7]->stopped = true; // dies while cut off, for longer than its zone remembers it
+        net.run(net.settings.goneKept + seconds(30));
+        CHECK(net.stateAt(0, 7) == MemberState::Alive);
+        net.isLost = [](size_t, size_t) { return false; };
+        CHECK(net.runUntil(seconds(5), [&] { return unreachable() == 0; }) < seconds(5));
+        CHECK(net.runUntil(seconds(40), [&] { return net.agree(8); }) < seconds(40));
+    }
+}
+
+TEST_CASE("a key has one owner, and owners are spread evenly")
+{
+    MembershipNet net;
+    fill(net, here, 3);
+    fill(net, there, 6);
+    REQUIRE(net.runUntil(seconds(15), [&] { return net.agree(9); }) < seconds(15));
+    std::map<MemberId, size_t> owned;
+    for (uint64_t key = 0; key < 9000; ++key) {
+        const MemberId owner = net.at(0).flowOwner(key);
+        ++owned[owner];
+        REQUIRE(net.at(8).flowOwner(key) == owner);
+    }
+    for (const auto &[member, count] : owned) { // 1000 each; 6 standard deviations are about 180
+        CHECK(count > 820);
+        CHECK(count < 1180);
+    }
+    std::set<MemberId> ranks;
+    for (size_t rank = 0; rank < 3; ++rank) {
+        ranks.insert(net.at(0).ownerIn(here, 42, rank));
+    }
+    CHECK(ranks.size() == 3);
+    CHECK(ranks.count(0) == 0);
+    CHECK(net.at(0).ownerIn(here, 42, 3) == 0);
+}
+
+TEST_CASE("control traffic stays under its target")
+{
+    MembershipNet net;
+    size_t members = 0;
+    double bound = 0;
+    SECTION("with 9 members in a zone, 4 KB a second")
+    {
+        members = 9;
+        bound = 4000;
+    }
+    SECTION("with 81 members in a zone, 17 KB a second")
+    {
+        members = 81;
+        bound = 17000;
+    }
+    fill(net, here, members);
+    fill(net, there, 3);
+    REQUIRE(net.runUntil(seconds(20), [&] { return net.agree(members + 3); }) < seconds(20));
+    net.run(seconds(30));
+    const double quiet = mostSent(net, seconds(20));
+    for (size_t i = 0; i < members / 9; ++i) {
+        net.nodes[i]->stopped = true;
+    }
+    const double busy = mostSent(net, seconds(5));
+    WARN(members << " members: " << quiet << " B/s quiet, " << busy << " B/s while a ninth dies");
+    CHECK(quiet < bound);
+    CHECK(busy < bound);
+    for (const auto &node : net.nodes) {
+        CHECK(node->largestDatagram < 1200);
+    }
+}
--- /dev/null
+++ b/tests/membershipnet.h
@@ -0,0 +1,197 @@
+#pragma once
+
+// Some Membership objects on a paused clock, joined by a queue of encoded messages with delay, loss and cuts.
+
+#include "membership/membership.h"
+#include "peer/codec.h"
+#include "peer/seal.h"
+
+#include <deque>
+#include <functional>
+#include <memory>
+
+namespace hornbeam {
+
+class MembershipNet
+{
+public:
+    struct Node
+    {
+        MemberRecord record;
+        Counters counters;
+        std::unique_ptr<Membership> membership;
+        bool frozen = false;
+        bool stopped = false;
+        uint64_t bytesSent = 0; // sealed datagrams and stream messages
+        size_t largestDatagram = 0;
+    };
+
+    static constexpr Duration step = milliseconds(10);
+    static constexpr Duration delay = milliseconds(2);
+
+    /** Adds an instance; it knows all earlier ones as seeds. */
+    size_t add(ZoneId zone)
+    {
+        const size_t index = this->nodes.size();
+        auto node = std::make_unique<Node>();
+        node->record.id = mixHash(index, 77);
+        node->record.zone = zone;
+        node->record.peer = Endpoint{ 0x0A000000U + static_cast<uint32_t>(index), 7000 };
+        this->nodes.push_back(std::move(node));
+        this->start(index);
+        return index;
+    }
+
+    /** Starts a process of the instance, anew when there was one. */
+    void start(size_t index)
+    {
+        Node &node = *this->nodes[index];
+        node.record.incarnation = this->clock.wallMillis();
+        node.membership = std::make_unique<Membership>(this->settings, node.record, this->clock, node.counters, index + 1);
+        node.stopped = false;
+        for (const auto &other : this->nodes) {
+            if (other.get() != &node) {
+                node.membership->addSeed(other->record.id, other->record.zone, other->record.peer);
+            }
+        }
+    }
+
+    void run(Duration time)
+    {
+        for (Duration spent{}; spent < time; spent += step) {
+            this->clock.advance(step);
+            this->deliver();
+            for (size_t i = 0; i < this->nodes.size(); ++i) {
+                const bool isDue = (this->clock.now().time_since_epoch() + i * step) % milliseconds(50) == Duration(0);
+                if (isDue && this->isRunning(i)) {
+                    Actions out;
+                    this->nodes[i]->membership->tick(out);
+                    this->send(i, out);
+                }
+            }
+        }
+    }
+
+    /** Runs until `holds`; returns the time that it took, or `bound` when it never held. */
+    Duration runUntil(Duration bound, const std::function<bool()> &holds)
+    {
+        Duration spent{};
+        while (spent < bound && !holds()) {
+            this->run(milliseconds(50));
+            spent += milliseconds(50);
+        }
+        return spent;
+    }
+
+    bool isRunning(size_t index) const
+    {
+        return !this->nodes[index]->stopped && !this->nodes[index]->frozen;
+    }
+
+    Membership &at(size_t index)
+    {
+        return *this->nodes[index]->membership;
+    }
+
+    MemberId idOf(size_t index) const
+    {
+        return this->nodes[index]->record.id;
+    }
+
+    MemberState stateAt(size_t viewer, size_t subject)
+    {
+        const auto found = this->at(viewer).find(this->idOf(subject));
+        return found.has_value() ? found->state : MemberState::Left;
+    }
+
+    /** Whether all running members see the same eligible members in all zones, `expected` in number. */
+    bool agree(size_t expected)
+    {
+        for (size_t i = 0; i < this->nodes.size(); ++i) {
+            if (this->isRunning(i) && this->eligibleAt(i) != expected) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    size_t eligibleAt(size_t viewer)
+    {
+        size_t count = 0;
+        for (const MemberRecord &record : this->at(viewer).members()) {
+            count += isEligible(record.state) ? 1 : 0;
+        }
+        return count;
+    }
+
+    void send(size_t from, const Actions &out)
+    {
+        for (const MessageOut &message : out.toPeers) {
+            this->transmit(from, message, true);
+        }
+        for (const MessageOut &message : out.toStreams) {
+            this->transmit(from, message, false);
+        }
+    }
+
+    MembershipSettings settings;
+    ManualClock clock;
+    std::vector<std::unique_ptr<Node>> nodes;
+    std::function<bool(size_t from, size_t to)> isLost = [](size_t, size_t) { return false; };
+
+private:
+    struct InFlight
+    {
+        TimePoint due;
+        size_t from = 0;
+        size_t to = 0;
+        Bytes message;
+    };
+
+    void transmit(size_t from, const MessageOut &message, bool isDatagram)
+    {
+        Node &sender = *this->nodes[from];
+        Bytes wire = encodeMessage(message.message);
+        sender.bytesSent += wire.size() + sealBytes;
+        if (isDatagram) {
+            sender.largestDatagram = std::max(sender.largestDatagram, wire.size() + sealBytes);
+        }
+        for (size_t to = 0; to < this->nodes.size(); ++to) {
+            if (this->idOf(to) == message.peer && !this->isLost(from, to)) {
+                this->queue.push_back(InFlight{ this->clock.now() + delay, from, to, std::move(wire) });
+                return;
+            }
+        }
+    }
+
+    void deliver()
+    {
+        std::deque<InFlight> due;
+        due.swap(this->queue);
+        for (const InFlight &message : due) {
+            if (this->nodes[message.to]->stopped) {
+                continue;
+            }
+            if (message.due > this->clock.now() || this->nodes[message.to]->frozen) {
+                this->queue.push_back(message); // the kernel keeps what arrives for a frozen process
+                continue;
+            }
+            const auto decoded = decodeMessage(message.message);
+            Actions out;
+            std::visit([&](const auto &typed) { this->handle(message.to, typed, out); }, *decoded);
+            this->send(message.to, out);
+        }
+    }
+
+    template<typename Message>
+    void handle(size_t to, const Message &message, Actions &out)
+    {
+        if constexpr (requires { this->at(to).onMessage(message, out); }) {
+            this->at(to).onMessage(message, out);
+        }
+    }
+
+    std::deque<InFlight> queue;
+};
+
+} // namespace hornbeam
--- a/tests/seal_test.cpp
+++ b/tests/seal_test.cpp
@@ -1,6 +1,7 @@
-#include "peer/keyring.h"
+#include "peer/seal.h"
 
 #include <catch2/catch.hpp>
+#include <rapidcheck.h>
 
 using namespace hornbeam;
 
@@ -35,3 +36,48 @@
         CHECK_FALSE(after.verify(text.data(), text.size() - 1, after.sign(text.data(), text.size())));
     }
 }
+
+TEST_CASE("a sealed packet opens only with a valid key and unchanged")
+{
+    const PacketSealer sealer({ newKey, oldKey });
+    const PacketSealer stranger({ Bytes(32, 3) });
+    const Bytes sealed = sealer.seal(text);
+    REQUIRE(sealed.size() == text.size() + sealBytes);
+    CHECK(sealer.open(sealed.data(), sealed.size()) == text);
+
+    SECTION("a forged one is refused")
+    {
+        const Bytes forged = stranger.seal(text);
+        CHECK_FALSE(sealer.open(forged.data(), forged.size()).has_value());
+    }
+    SECTION("each changed bit is noticed, the version's too")
+    {
+        for (size_t bit = 0; bit < sealed.size() * 8; ++bit) {
+            Bytes changed = sealed;
+            changed[bit / 8] ^= static_cast<uint8_t>(1U << (bit % 8));
+            CHECK_FALSE(sealer.open(changed.data(), changed.size()).has_value());
+        }
+    }
+    SECTION("each truncation is refused")
+    {
+        for (size_t size = 0; size < sealed.size(); ++size) {
+            CHECK_FALSE(sealer.open(sealed.data(), size).has_value());
+        }
+    }
+    SECTION("an empty message can be sealed")
+    {
+        const Bytes empty = sealer.seal({});
+        CHECK(sealer.open(empty.data(), empty.size()) == Bytes());
+    }
+}
+
+TEST_CASE("arbitrary bytes never open")
+{
+    const PacketSealer sealer({ newKey, oldKey });
+    const bool held = rc::check("noise is refused and what was sealed opens", [&sealer](const Bytes &noise) {
+        RC_ASSERT(!sealer.open(noise.data(), noise.size()).has_value());
+        const Bytes sealed = sealer.seal(noise);
+        RC_ASSERT(sealer.open(sealed.data(), sealed.size()) == noise);
+    });
+    CHECK(held);
+}
