--- /dev/null
+++ b/tests/seal_test.cpp
@@ -0,0 +1,83 @@
+#include "peer/seal.h"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+
+using namespace hornbeam;
+
+namespace {
+
+const Bytes oldKey(32, 1);
+const Bytes newKey(32, 2);
+const Bytes text{ 'h', 'o', 'r', 'n' };
+
+} // namespace
+
+TEST_CASE("a key ring signs with its first key and verifies with all")
+{
+    const KeyRing before({ oldKey });
+    const KeyRing during({ newKey, oldKey });
+    const KeyRing after({ newKey });
+
+    SECTION("RFC 4231 test case 2 gives the start of the digest that it lists")
+    {
+        const KeyRing ring({ Bytes{ 'J', 'e', 'f', 'e' } });
+        const std::string message = "what do ya want for nothing?";
+        CHECK(ring.sign(reinterpret_cast<const uint8_t *>(message.data()), message.size()) == 0x5bdcc146bf60754eULL);
+    }
+    SECTION("while keys rotate, both are valid")
+    {
+        CHECK(during.verify(text.data(), text.size(), before.sign(text.data(), text.size())));
+        CHECK(after.verify(text.data(), text.size(), during.sign(text.data(), text.size())));
+    }
+    SECTION("a retired key and a changed text are refused")
+    {
+        CHECK_FALSE(after.verify(text.data(), text.size(), before.sign(text.data(), text.size())));
+        CHECK_FALSE(after.verify(text.data(), text.size() - 1, after.sign(text.data(), text.size())));
+    }
+}
+
+TEST_CASE("a sealed packet opens only with a valid key and unchanged")
+{
+    const PacketSealer sealer({ newKey, oldKey });
+    const PacketSealer stranger({ Bytes(32, 3) });
+    const Bytes sealed = sealer.seal(text);
+    REQUIRE(sealed.size() == text.size() + sealBytes);
+    CHECK(sealer.open(sealed.data(), sealed.size()) == text);
+
+    SECTION("a forged one is refused")
+    {
+        const Bytes forged = stranger.seal(text);
+        CHECK_FALSE(sealer.open(forged.data(), forged.size()).has_value());
+    }
+    SECTION("each changed bit is noticed, the version's too")
+    {
+        for (size_t bit = 0; bit < sealed.size() * 8; ++bit) {
+            Bytes changed = sealed;
+            changed[bit / 8] ^= static_cast<uint8_t>(1U << (bit % 8));
+            CHECK_FALSE(sealer.open(changed.data(), changed.size()).has_value());
+        }
+    }
+    SECTION("each truncation is refused")
+    {
+        for (size_t size = 0; size < sealed.size(); ++size) {
+            CHECK_FALSE(sealer.open(sealed.data(), size).has_value());
+        }
+    }
+    SECTION("an empty message can be sealed")
+    {
+        const Bytes empty = sealer.seal({});
+        CHECK(sealer.open(empty.data(), empty.size()) == Bytes());
+    }
+}
+
+TEST_CASE("arbitrary bytes never open")
+{
+    const PacketSealer sealer({ newKey, oldKey });
+    const bool held = rc::check("noise is refused and what was sealed opens", [&sealer](const Bytes &noise) {
+        RC_ASSERT(!sealer.open(noise.data(), noise.size()).has_value());
+        const Bytes sealed = sealer.seal(noise);
+        RC_ASSERT(sealer.open(sealed.data(), sealed.size()) == noise);
+    });
+    CHECK(held);
+}
