Operators' table, its spread, the platform client and stand-in

- TableStore refuses an invalid table whole and keeps the old one in force.
An address or port that another service has is such a fault; the refused table is tried again when a table changes, since the two halves of a move may be seen in either order.
Ruled out: dropping only the conflicting row (half an edit in force), and deciding by the service's name (a typo could take rows away).
- TableSync: a watcher's datagram, a pull over the stream, recent versions and at last all versions where digests differ, both paced.
Ruled out: texts pushed to every member (most have them by then), all versions in each exchange (25 KB at 1,700 services).
- TableVersions gained the field 'whole' at its end.
Counters: table_pulls, table_texts_sent.
- PlatformClient takes a connection for each call; a write whose answer is lost ends as Unknown.
TableWatcher and StatusReporter decide over the abstract PlatformApi.
- standins-platform: the store's revision is each object's version, so a key written again after its deletion still rises.

--- a/src/core/counters.h
+++ b/src/core/counters.h
@@ -42,6 +42,8 @@
     TableVersionsApplied, // table versions put in force
     TableVersionsStale,   // table versions refused because a later one is in force
     TableRowsRejected,    // table objects refused because of a bad row
+    TablePulls,           // table texts asked for from other members
+    TableTextsSent,       // table texts sent to other members
     PlatformCalls,        // calls made to the platform's object API
     PlatformErrors,       // calls that failed
     Count,
--- /dev/null
+++ b/src/core/jsonfields.cpp
@@ -0,0 +1,177 @@
+#include "core/jsonfields.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+namespace hornbeam {
+
+namespace {
+constexpr size_t maxNameBytes = 64;
+constexpr size_t maxShownBytes = 60;
+
+bool isNameByte(char byte)
+{
+    return (byte >= 'a' && byte <= 'z') || (byte >= 'A' && byte <= 'Z') || (byte >= '0' && byte <= '9') || byte == '.' || byte == '-' || byte == '_';
+}
+}
+
+std::string toString(const Fault &fault)
+{
+    return (fault.path.empty() ? "document" : fault.path) + ": " + fault.value + " is not allowed; allowed: " + fault.allowed;
+}
+
+bool isName(std::string_view text)
+{
+    return !text.empty() && text.size() <= maxNameBytes && std::all_of(text.begin(), text.end(), isNameByte);
+}
+
+std::string shortText(const nlohmann::json &value)
+{
+    std::string text = value.dump(-1, ' ', true, nlohmann::json::error_handler_t::replace);
+    if (text.size() > maxShownBytes) {
+        text.resize(maxShownBytes);
+        text += "...";
+    }
+    return text;
+}
+
+JsonFields::JsonFields(const nlohmann::json &object, std::string path, std::vector<Fault> &faults) : fields(object), path(std::move(path)), faults(faults)
+{
+}
+
+bool JsonFields::has(const std::string &key) const
+{
+    return this->fields.contains(key);
+}
+
+bool JsonFields::require(const std::string &key, const std::string &allowed)
+{
+    if (!this->has(key)) {
+        this->faults.push_back({ this->pathOf(key), "missing", allowed });
+    }
+    return this->has(key);
+}
+
+const nlohmann::json *JsonFields::find(const std::string &key)
+{
+    this->known.push_back(key);
+    const auto found = this->fields.find(key);
+    return found == this->fields.end() ? nullptr : &*found;
+}
+
+void JsonFields::number(const std::string &key, uint64_t low, uint64_t high, uint64_t &value)
+{
+    const nlohmann::json *field = this->find(key);
+    if (field == nullptr) {
+        return;
+    }
+    if (!field->is_number_unsigned() || field->get<uint64_t>() < low || field->get<uint64_t>() > high) {
+        this->fault(key, "a whole number from " + std::to_string(low) + " to " + std::to_string(high));
+        return;
+    }
+    value = field->get<uint64_t>();
+}
+
+void JsonFields::text(const std::string &key, std::string &value)
+{
+    const nlohmann::json *field = this->find(key);
+    if (field == nullptr) {
+        return;
+    }
+    if (!field->is_string()) {
+        this->fault(key, "a string");
+        return;
+    }
+    value = field->get<std::string>();
+}
+
+void JsonFields::name(const std::string &key, std::string &value)
+{
+    const nlohmann::json *field = this->find(key);
+    if (field == nullptr) {
+        return;
+    }
+    if (!field->is_string() || !isName(field->get<std::string>())) {
+        this->fault(key, "1 to 64 letters, digits, dots, dashes and underscores");
+        return;
+    }
+    value = field->get<std::string>();
+}
+
+void JsonFields::flag(const std::string &key, bool &value)
+{
+    const nlohmann::json *field = this->find(key);
+    if (field == nullptr) {
+        return;
+    }
+    if (!field->is_boolean()) {
+        this->fault(key, "true or false");
+        return;
+    }
+    value = field->get<bool>();
+}
+
+void JsonFields::choice(const std::string &key, const std::vector<std::string_view> &names, size_t &position)
+{
+    const nlohmann::json *field = this->find(key);
+    if (field == nullptr) {
+        return;
+    }
+    const std::string text = field->is_string() ? field->get<std::string>() : std::string();
+    const auto found = std::find(names.begin(), names.end(), text);
+    if (found != names.end()) {
+        position = static_cast<size_t>(found - names.begin());
+        return;
+    }
+    std::string allowed;
+    for (const std::string_view name : names) {
+        allowed += (allowed.empty() ? "" : " or ") + std::string(name);
+    }
+    this->fault(key, allowed);
+}
+
+const nlohmann::json *JsonFields::array(const std::string &key)
+{
+    const nlohmann::json *field = this->find(key);
+    if (field != nullptr && !field->is_array()) {
+        this->fault(key, "a list");
+        return nullptr;
+    }
+    return field;
+}
+
+const nlohmann::json *JsonFields::object(const std::string &key)
+{
+    const nlohmann::json *field = this->find(key);
+    if (field != nullptr && !field->is_object()) {
+        this->fault(key, "an object");
+        return nullptr;
+    }
+    return field;
+}
+
+void JsonFields::fault(const std::string &key, const std::string &allowed)
+{
+    const auto found = this->fields.find(key);
+    this->faults.push_back({ this->pathOf(key), found == this->fields.end() ? "missing" : shortText(*found), allowed });
+}
+
+void JsonFields::finish()
+{
+    std::string allowed;
+    for (const std::string &key : this->known) {
+        allowed += (allowed.empty() ? "the keys " : ", ") + key;
+    }
+    for (const auto &[key, value] : this->fields.items()) {
+        if (std::find(this->known.begin(), this->known.end(), key) == this->known.end()) {
+            this->faults.push_back({ this->pathOf(key), shortText(value), allowed });
+        }
+    }
+}
+
+std::string JsonFields::pathOf(const std::string &key) const
+{
+    return this->path.empty() ? key : this->path + "." + key;
+}
+
+} // namespace hornbeam
--- a/src/peer/messages.h
+++ b/src/peer/messages.h
@@ -403,11 +403,12 @@
 {
     MemberId sender = 0;
     std::vector<ServiceVersion> versions;
+    bool whole = false; // every service of the sender is listed, so that the receiver may answer with those that it lacks
 
     template<typename Visitor>
     void visitFields(Visitor &visit)
     {
-        visit(this->sender, this->versions);
+        visit(this->sender, this->versions, this->whole);
     }
 };
 
--- /dev/null
+++ b/src/platform/statusreporter.cpp
@@ -0,0 +1,103 @@
+#include "platform/statusreporter.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+namespace hornbeam {
+
+namespace {
+using nlohmann::json;
+
+std::vector<std::string> textsAt(const json &object, const char *key)
+{
+    std::vector<std::string> texts;
+    for (const json &entry : object.value(key, json::array())) {
+        if (entry.is_string()) {
+            texts.push_back(entry.get<std::string>());
+        }
+    }
+    return texts;
+}
+
+template<typename Number>
+bool readNumber(const json &object, const char *key, Number &number)
+{
+    const auto found = object.find(key);
+    if (found == object.end() || !found->is_number_unsigned()) {
+        return false;
+    }
+    number = found->get<Number>();
+    return true;
+}
+}
+
+bool ZoneStatus::isInForce(const std::string &service, uint64_t version) const
+{
+    const bool isHere = std::any_of(this->services.begin(), this->services.end(),
+                                    [&](const ServiceInForce &known) { return known.service == service && known.version >= version; });
+    return isHere && this->agreeing == this->members;
+}
+
+std::string writeStatus(const ZoneStatus &status)
+{
+    json services = json::object();
+    for (const ServiceInForce &service : status.services) {
+        services[service.service] = service.version;
+    }
+    const json object{ { "zone", status.zone },         { "reporter", status.reporter }, { "members", status.members }, { "agreeing", status.agreeing },
+                       { "laggards", status.laggards }, { "refused", status.refused },   { "services", services },      { "written_ms", status.writtenMs } };
+    return object.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
+std::optional<ZoneStatus> readStatus(const std::string &text)
+{
+    const json object = json::parse(text, nullptr, false);
+    ZoneStatus status;
+    if (!object.is_object() || !object.contains("zone") || !object["zone"].is_string() || !readNumber(object, "members", status.members)
+        || !readNumber(object, "agreeing", status.agreeing) || !readNumber(object, "written_ms", status.writtenMs) || !object.contains("services")
+        || !object["services"].is_object()) {
+        return std::nullopt;
+    }
+    status.zone = object["zone"].get<std::string>();
+    status.reporter = object.contains("reporter") && object["reporter"].is_string() ? object["reporter"].get<std::string>() : "";
+    status.laggards = textsAt(object, "laggards");
+    status.refused = textsAt(object, "refused");
+    for (const auto &[service, version] : object["services"].items()) {
+        if (!version.is_number_unsigned()) {
+            return std::nullopt;
+        }
+        status.services.push_back({ service, version.get<uint64_t>() });
+    }
+    return status;
+}
+
+StatusReporter::StatusReporter(PlatformApi &api, const Clock &clock, const StatusReporterSettings &settings)
+    : api(api), clock(clock), settings(settings), lastWrite(clock.now() - settings.idleInterval)
+{
+}
+
+void StatusReporter::tick(bool isReporter, ZoneStatus status)
+{
+    if (!isReporter) {
+        this->lastText.clear(); // another member writes now; on the role's return the object is not what was last written
+        return;
+    }
+    status.writtenMs = 0;
+    const std::string text = writeStatus(status);
+    const bool isChanged = text != this->lastText || !this->isWritten;
+    const Duration interval = isChanged ? this->settings.changeInterval : this->settings.idleInterval;
+    const TimePoint now = this->clock.now();
+    if (this->isBusy || now - this->lastWrite < interval) {
+        return;
+    }
+    this->lastWrite = now;
+    this->lastText = text;
+    this->isBusy = true;
+    status.writtenMs = this->clock.wallMillis();
+    this->api.put(statusKey(status.zone), writeStatus(status), PutCondition{}, [this](const PlatformReply &reply) {
+        this->isBusy = false;
+        this->isWritten = reply.isOk();
+    });
+}
+
+} // namespace hornbeam
--- /dev/null
+++ b/tests/fakedirectory.h
@@ -0,0 +1,61 @@
+#pragma once
+
+// A directory whose members a test sets by hand.
+
+#include "peer/directory.h"
+
+#include <algorithm>
+
+namespace hornbeam {
+
+class FakeDirectory final : public MemberDirectory
+{
+public:
+    MemberRecord me;
+    std::vector<MemberRecord> members; // all zones, this one included
+    std::vector<ZoneId> cutZones;
+
+    MemberRecord self() const override
+    {
+        return this->me;
+    }
+    std::optional<MemberRecord> find(MemberId member) const override
+    {
+        const auto found = std::find_if(this->members.begin(), this->members.end(), [&](const MemberRecord &record) { return record.id == member; });
+        return found == this->members.end() ? std::nullopt : std::optional(*found);
+    }
+    std::vector<MemberRecord> eligibleIn(ZoneId zone) const override
+    {
+        std::vector<MemberRecord> found;
+        std::copy_if(this->members.begin(), this->members.end(), std::back_inserter(found), [&](const MemberRecord &record) { return record.zone == zone; });
+        return found;
+    }
+    std::vector<ZoneId> reachableZones() const override
+    {
+        std::vector<ZoneId> zones;
+        for (const MemberRecord &record : this->members) {
+            const bool isCut = std::find(this->cutZones.begin(), this->cutZones.end(), record.zone) != this->cutZones.end();
+            if (!isCut && std::find(zones.begin(), zones.end(), record.zone) == zones.end()) {
+                zones.push_back(record.zone);
+            }
+        }
+        std::sort(zones.begin(), zones.end());
+        return zones;
+    }
+    MemberId ownerIn(ZoneId zone, uint64_t key, size_t rank) const override
+    {
+        std::vector<MemberRecord> owners = this->eligibleIn(zone);
+        std::sort(owners.begin(), owners.end(), [&](const MemberRecord &a, const MemberRecord &b) { return mixHash(key, a.id) > mixHash(key, b.id); });
+        return rank < owners.size() ? owners[rank].id : 0;
+    }
+    MemberId flowOwner(uint64_t) const override
+    {
+        return this->me.id;
+    }
+    uint64_t viewVersion() const override
+    {
+        return 1;
+    }
+};
+
+} // namespace hornbeam
--- /dev/null
+++ b/tests/platform_test.cpp
@@ -0,0 +1,305 @@
+#include "childprocess.h"
+#include "platform/blockingplatform.h"
+#include "platform/platformclient.h"
+#include "platform/platformcodec.h"
+#include "platform/statusreporter.h"
+#include "platform/tablewatcher.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+
+using namespace hornbeam;
+
+namespace {
+/** Keeps each call until the test answers it. */
+class FakeApi final : public PlatformApi
+{
+public:
+    struct Pending
+    {
+        std::string kind;
+        std::string key;
+        std::string value;
+        uint64_t after = 0;
+        PlatformCallback done;
+    };
+    std::vector<Pending> calls;
+
+    void get(const std::string &key, PlatformCallback done) override
+    {
+        this->calls.push_back({ "get", key, "", 0, std::move(done) });
+    }
+    void put(const std::string &key, const std::string &value, const PutCondition &, PlatformCallback done) override
+    {
+        this->calls.push_back({ "put", key, value, 0, std::move(done) });
+    }
+    void list(const std::string &prefix, PlatformCallback done) override
+    {
+        this->calls.push_back({ "list", prefix, "", 0, std::move(done) });
+    }
+    void watch(const std::string &prefix, uint64_t after, Duration, PlatformCallback done) override
+    {
+        this->calls.push_back({ "watch", prefix, "", after, std::move(done) });
+    }
+    void instances(PlatformCallback done) override
+    {
+        this->calls.push_back({ "instances", "", "", 0, std::move(done) });
+    }
+    void answer(PlatformOutcome outcome, uint64_t revision = 0, std::vector<PlatformObject> objects = {})
+    {
+        const PlatformCallback done = std::move(this->calls.back().done);
+        PlatformReply reply;
+        reply.outcome = outcome;
+        reply.revision = revision;
+        reply.objects = std::move(objects);
+        done(reply);
+    }
+};
+
+// one raw exchange with the stand-in, for what the client has no call for
+std::string post(const Endpoint &endpoint, boost::beast::http::verb verb, const std::string &target, const std::string &body)
+{
+    namespace http = boost::beast::http;
+    boost::asio::io_context context;
+    boost::beast::tcp_stream stream(context);
+    stream.connect(boost::asio::ip::tcp::endpoint(boost::asio::ip::address_v4(endpoint.address), endpoint.port));
+    http::request<http::string_body> request(verb, target, 11);
+    request.body() = body;
+    request.prepare_payload();
+    http::write(stream, request);
+    boost::beast::flat_buffer buffer;
+    http::response<http::string_body> response;
+    http::read(stream, buffer, response);
+    return response.body();
+}
+}
+
+TEST_CASE("the watcher lists, watches and backs off")
+{
+    FakeApi api;
+    ManualClock clock;
+    std::vector<std::string> seen;
+    TableWatcher watcher(api, clock, 1, [&](const std::vector<PlatformObject> &objects) {
+        for (const PlatformObject &object : objects) {
+            seen.push_back(object.key);
+        }
+    });
+
+    GIVEN("a member that watches")
+    {
+        watcher.tick(true);
+        REQUIRE(api.calls.size() == 1);
+        CHECK(api.calls[0].kind == "list");
+        watcher.tick(true);
+        CHECK(api.calls.size() == 1); // one call at a time
+        api.answer(PlatformOutcome::Ok, 7, { { "tables/booking", 7, "{}", false } });
+        CHECK(seen == std::vector<std::string>{ "tables/booking" });
+        watcher.tick(true);
+        REQUIRE(api.calls.size() == 2);
+        CHECK(api.calls[1].kind == "watch");
+        CHECK(api.calls[1].after == 7);
+
+        WHEN("the platform fails")
+        {
+            api.answer(PlatformOutcome::Unavailable);
+            CHECK_FALSE(watcher.isReachable());
+            watcher.tick(true);
+            CHECK(api.calls.size() == 2);
+            clock.advance(milliseconds(250));
+            watcher.tick(true);
+            THEN("it lists again after the backoff")
+            {
+                REQUIRE(api.calls.size() == 3);
+                CHECK(api.calls[2].kind == "list");
+            }
+            AND_WHEN("it stays out")
+            {
+                for (int i = 0; i < 10; ++i) {
+                    api.answer(PlatformOutcome::Unavailable);
+                    clock.advance(seconds(10));
+                    watcher.tick(true);
+                }
+                api.answer(PlatformOutcome::Unavailable);
+                const size_t before = api.calls.size();
+                clock.advance(seconds(4));
+                watcher.tick(true);
+                CHECK(api.calls.size() == before); // at least half of the longest backoff
+            }
+        }
+    }
+    GIVEN("a member that does not watch")
+    {
+        watcher.tick(false);
+        CHECK(api.calls.empty());
+        clock.advance(seconds(300));
+        watcher.tick(false);
+        REQUIRE(api.calls.size() == 1);
+        api.answer(PlatformOutcome::Ok, 7);
+        watcher.tick(false);
+        CHECK(api.calls.size() == 1);
+        WHEN("it becomes a watcher")
+        {
+            watcher.tick(true);
+            REQUIRE(api.calls.size() == 2);
+            CHECK(api.calls[1].kind == "list"); // what changed since the poll is in the list
+        }
+    }
+}
+
+TEST_CASE("the reporter writes on change, at most each second, else each minute")
+{
+    FakeApi api;
+    ManualClock clock;
+    StatusReporter reporter(api, clock);
+    ZoneStatus status;
+    status.zone = "kl-1";
+    status.members = 3;
+    status.agreeing = 3;
+    status.services = { { "booking", 5 } };
+
+    reporter.tick(false, status);
+    CHECK(api.calls.empty());
+    reporter.tick(true, status);
+    REQUIRE(api.calls.size() == 1);
+    CHECK(api.calls[0].key == "status/kl-1");
+    const auto written = readStatus(api.calls[0].value);
+    REQUIRE(written.has_value());
+    CHECK(written->isInForce("booking", 5));
+    CHECK_FALSE(written->isInForce("booking", 6));
+    CHECK_FALSE(written->isInForce("catalogue", 1));
+    api.answer(PlatformOutcome::Ok);
+
+    SECTION("no change, no write before the minute")
+    {
+        clock.advance(seconds(59));
+        reporter.tick(true, status);
+        CHECK(api.calls.size() == 1);
+        clock.advance(seconds(1));
+        reporter.tick(true, status);
+        CHECK(api.calls.size() == 2);
+    }
+    SECTION("a change waits for its second")
+    {
+        status.agreeing = 2;
+        reporter.tick(true, status);
+        CHECK(api.calls.size() == 1);
+        clock.advance(seconds(1));
+        reporter.tick(true, status);
+        REQUIRE(api.calls.size() == 2);
+        CHECK_FALSE(readStatus(api.calls[1].value)->isInForce("booking", 5)); // one member lags
+        AND_WHEN("that write fails")
+        {
+            api.answer(PlatformOutcome::Unknown);
+            clock.advance(seconds(1));
+            reporter.tick(true, status);
+            CHECK(api.calls.size() == 3);
+        }
+    }
+}
+
+TEST_CASE("arbitrary platform answers are read or refused")
+{
+    const bool held = rc::check("reading returns", [](const std::string &noise, uint16_t where, uint8_t byte) {
+        const std::string good = R"({"revision":3,"objects":[{"key":"a","version":3,"value":"x"}],"instances":[{"name":"m"}]})";
+        std::string mutated = good;
+        mutated[where % mutated.size()] = static_cast<char>(byte);
+        PlatformReply reply;
+        const bool isRead = readObjects(good, reply) && readInstances(good, reply);
+        RC_ASSERT(isRead);
+        for (const std::string &text : { noise, mutated }) {
+            PlatformReply other;
+            readObjects(text, other);
+            readInstances(text, other);
+            readStatus(text);
+            RC_ASSERT(other.objects.size() <= 1U);
+        }
+    });
+    CHECK(held);
+}
+
+TEST_CASE("the client and the platform stand-in agree", "[endtoend]")
+{
+    PlatformProcess process({ "--seed", "7" });
+    Endpoint endpoint;
+    REQUIRE(parseEndpoint(process.address, endpoint));
+    BlockingPlatform platform(endpoint, seconds(2));
+    using boost::beast::http::verb;
+
+    SECTION("objects are written under conditions")
+    {
+        CHECK(platform.get("tables/a").outcome == PlatformOutcome::NotFound);
+        const PlatformReply first = platform.put("tables/a", "one", PutCondition::ifAbsent());
+        REQUIRE(first.isOk());
+        CHECK(platform.put("tables/a", "two", PutCondition::ifAbsent()).outcome == PlatformOutcome::Conflict);
+        const PlatformReply second = platform.put("tables/a", "two", PutCondition::ifVersion(first.version));
+        REQUIRE(second.isOk());
+        CHECK(second.version > first.version);
+        CHECK(platform.put("tables/a", "three", PutCondition::ifVersion(first.version)).outcome == PlatformOutcome::Conflict);
+        const PlatformReply read = platform.get("tables/a");
+        REQUIRE(read.isOk());
+        CHECK(read.objects[0].value == "two");
+        CHECK(read.version == second.version);
+        CHECK(platform.list("tables/").objects.size() == 1);
+        CHECK(platform.list("status/").objects.empty());
+    }
+    SECTION("a watch tells changes and ends without any")
+    {
+        const uint64_t version = platform.put("tables/a", "one", PutCondition{}).version;
+        const PlatformReply changed = platform.watch("tables/", version - 1, seconds(5));
+        REQUIRE(changed.isOk());
+        CHECK(changed.objects.size() == 1);
+        const PlatformReply quiet = platform.watch("tables/", changed.revision, milliseconds(30));
+        CHECK(quiet.isOk());
+        CHECK(quiet.objects.empty());
+    }
+    SECTION("a lost answer is unknown though the write took effect")
+    {
+        post(endpoint, verb::post, "/faults", R"({"lose_answer_after_write":1})");
+        CHECK(platform.put("tables/a", "one", PutCondition::ifAbsent()).outcome == PlatformOutcome::Unknown);
+        CHECK(platform.get("tables/a").isOk());
+    }
+    SECTION("in an outage nothing is written")
+    {
+        post(endpoint, verb::post, "/faults", R"({"outage":true})");
+        CHECK(platform.put("tables/a", "one", PutCondition{}).outcome == PlatformOutcome::Unavailable);
+        CHECK(platform.watch("tables/", 0, seconds(5)).outcome == PlatformOutcome::Unavailable);
+        post(endpoint, verb::post, "/faults", R"({"outage":false})");
+        CHECK(platform.get("tables/a").outcome == PlatformOutcome::NotFound);
+    }
+    SECTION("a value above a megabyte is rejected")
+    {
+        CHECK(platform.put("tables/a", std::string((1U << 20) + 1, 'x'), PutCondition{}).outcome == PlatformOutcome::Malformed);
+        CHECK(platform.put("tables/a", std::string(1U << 20, 'x'), PutCondition{}).isOk());
+    }
+    SECTION("calls are counted, a waiting watch as one")
+    {
+        platform.watch("tables/", 0, milliseconds(50));
+        platform.list("tables/");
+        CHECK(post(endpoint, verb::get, "/calls", "") == R"({"list":1,"watch":1})");
+    }
+    SECTION("instances that register are listed")
+    {
+        post(endpoint, verb::put, "/instances/e1", R"({"zone":"kl-1","address":"127.0.0.1:7946"})");
+        boost::asio::io_context context;
+        Counters counters;
+        PlatformClient client(context, counters, PlatformSettings{ endpoint, seconds(2) });
+        PlatformReply listed;
+        client.instances([&](const PlatformReply &reply) { listed = reply; });
+        context.run();
+        REQUIRE(listed.instances.size() == 1);
+        CHECK(listed.instances[0].zone == "kl-1");
+        CHECK(listed.instances[0].state == "live");
+        CHECK(counters.value(Counter::PlatformCalls) == 1);
+    }
+    SECTION("a platform that is gone is unavailable")
+    {
+        process.child.sendSignal(SIGTERM);
+        process.child.wait();
+        CHECK(platform.get("tables/a").outcome == PlatformOutcome::Unavailable);
+        CHECK(platform.put("tables/a", "one", PutCondition{}).outcome == PlatformOutcome::Unavailable);
+    }
+}
