--- a/src/core/counters.cpp
+++ b/src/core/counters.cpp
@@ -4,16 +4,43 @@
 
 namespace {
 
-constexpr std::array<std::string_view, 32> counterNames{
-    "packets_from_callers", "packets_from_targets",   "packets_from_peers",   "peer_packets_rejected", "stream_messages",
-    "stream_rejected",      "control_bytes_sent",     "relay_bytes_sent",     "relays_sent",           "requests_served",
-    "echo_values_made",     "repeats_answered",       "records_handed_over",  "records_taken_over",    "slots_granted",
-    "slots_reclaimed",      "keeper_rebuilds",        "feeds_opened",         "feeds_closed",          "feeds_moved_in",
-    "feeds_moved_out",      "feed_copies_stored",     "notifications_sent",   "targets_probed",        "members_suspected",
-    "members_failed",       "table_versions_applied", "table_versions_stale", "table_rows_rejected",   "platform_calls",
-    "platform_errors",      "stream_sends_dropped",
+constexpr std::string_view counterNames[] = {
+    "packets_from_callers",
+    "packets_from_targets",
+    "packets_from_peers",
+    "peer_packets_rejected",
+    "stream_messages",
+    "stream_rejected",
+    "control_bytes_sent",
+    "relay_bytes_sent",
+    "relays_sent",
+    "requests_served",
+    "echo_values_made",
+    "repeats_answered",
+    "records_handed_over",
+    "records_taken_over",
+    "slots_granted",
+    "slots_reclaimed",
+    "keeper_rebuilds",
+    "feeds_opened",
+    "feeds_closed",
+    "feeds_moved_in",
+    "feeds_moved_out",
+    "feed_copies_stored",
+    "notifications_sent",
+    "targets_probed",
+    "members_suspected",
+    "members_failed",
+    "table_versions_applied",
+    "table_versions_stale",
+    "table_rows_rejected",
+    "table_pulls",
+    "table_texts_sent",
+    "platform_calls",
+    "platform_errors",
+    "stream_sends_dropped",
 };
-static_assert(counterNames.size() == static_cast<size_t>(Counter::Count));
+static_assert(std::size(counterNames) == static_cast<size_t>(Counter::Count));
 
 void appendLine(std::string &out, std::string_view name, std::string_view label, std::string_view value, uint64_t count)
 {
@@ -28,14 +55,14 @@
 
 std::string_view nameOf(Counter counter)
 {
-    return counterNames.at(static_cast<size_t>(counter));
+    return counterNames[static_cast<size_t>(counter)];
 }
 
 std::string Counters::text() const
 {
     std::string out;
     for (size_t i = 0; i < this->events.size(); ++i) {
-        appendLine(out, std::string(counterNames.at(i)) + "_total", "", "", this->events.at(i).load(std::memory_order_relaxed));
+        appendLine(out, std::string(counterNames[i]) + "_total", "", "", this->events.at(i).load(std::memory_order_relaxed));
     }
     for (size_t i = 1; i < this->refusals.size(); ++i) {
         const auto reason = static_cast<Reason>(i);
