--- /dev/null
+++ b/src/feeds/feed.h
@@ -0,0 +1,100 @@
+#pragma once
+
+// The data of an open feed and of its registration at a target. Kept small: an instance holds 300,000.
+
+#include "core/clock.h"
+#include "core/coap.h"
+#include "peer/messages.h"
+
+#include <array>
+#include <memory>
+
+namespace hornbeam {
+
+constexpr uint32_t noIndex = UINT32_MAX;
+constexpr TimePoint never = TimePoint::max();
+constexpr uint64_t feedPlaceBit = 1ULL << 63; // marks the place requests of feeds
+
+/** The caller's side of a feed. */
+struct FeedKey
+{
+    Endpoint caller;
+    ServiceId service = 0;
+    uint8_t tokenBytes = 0;
+    std::array<uint8_t, maxTokenBytes> tokenValue{};
+
+    bool operator==(const FeedKey &) const = default;
+    Bytes token() const
+    {
+        return { this->tokenValue.begin(), this->tokenValue.begin() + this->tokenBytes };
+    }
+    uint64_t flow() const;
+};
+
+/** Precondition: at most maxTokenBytes of token; more are cut off. Thread safe. */
+FeedKey makeFeedKey(ServiceId service, const Endpoint &caller, const Bytes &token);
+
+enum class RegistrationState : uint8_t {
+    Free,        // not in use
+    Waiting,     // a place was refused; asks again when due
+    Asking,      // a place was asked for
+    Registering, // sent to the target, no answer yet
+    Live,        // answered
+    Refreshing,  // answered before, and sent again
+};
+
+/** One registration at a target. Its number is its token at the target and the request number of its place. */
+struct Registration
+{
+    uint64_t number = 0;
+    TargetId target = 0;
+    TargetId avoid = 0;
+    Endpoint endpoint;
+    TimePoint dueAt = never; // next repeat, refresh or wish
+    TimePoint heardAt;       // last packet from the target
+    uint32_t feed = noIndex; // the next free index while Free
+    uint32_t sequence = 0;   // the target's own last Observe value
+    uint16_t messageId = 0;  // of the last GET sent
+    uint8_t attempts = 0;    // GETs sent, or places asked for, without an answer
+    RegistrationState state = RegistrationState::Free;
+    bool hasSequence = false;
+    bool heardSinceSent = false; // a notification was taken after the last GET was sent
+    bool afterSilence = false;   // stands in for one that went silent
+};
+
+/** A confirmable notification that the caller has not acknowledged. */
+struct Unconfirmed
+{
+    Bytes packet;
+    uint16_t messageId = 0;
+    uint8_t attempts = 0;
+    TimePoint dueAt;
+};
+
+struct Feed
+{
+    FeedKey key;
+    uint32_t nextOfFlow = noIndex;             // the next feed of the same flow; the next free index while free
+    uint32_t current = noIndex;                // the registration that serves the feed
+    uint32_t next = noIndex;                   // the one that will replace it
+    uint32_t sequence = 0;                     // last number sent to the caller
+    uint64_t sequenceAtMs = 0;                 // wall clock then; 0 when none was sent
+    std::shared_ptr<const Bytes> registration; // options and payload of the caller's GET
+    std::unique_ptr<Unconfirmed> unconfirmed;
+    TimePoint timerAt = never; // the timer entry in force
+    TimePoint confirmedAt;     // last sign of life of the caller
+    TimePoint copiedAt;        // when the copy was sent
+    MemberId copyHolder = 0;
+    std::array<uint16_t, 4> recentIds{}; // message IDs of the last notifications, for RST
+    uint16_t answerId = 0;               // message ID of the GET that waits for its answer
+    CoapType answerType = CoapType::Confirmable;
+    uint8_t recentCount = 0;
+    uint8_t failures = 0; // targets that did not answer before it was established
+    bool used = false;
+    bool answerDue = false;
+    bool established = false; // the caller has seen a state of it
+    bool cancelling = false;  // the caller's Observe=1 is at the target
+    bool closing = false;     // ended by the target; only the last notification is left to confirm
+};
+
+} // namespace hornbeam
--- /dev/null
+++ b/src/feeds/feedcaller.cpp
@@ -0,0 +1,306 @@
+// The callers' side of a shard's feeds.
+//
+// Sections: packets from callers | relays and copies | refusals | notifications
+
+#include "feeds/feedshard.h"
+
+#include <algorithm>
+
+namespace hornbeam {
+
+namespace {
+
+Bytes tailOf(const Bytes &packet, const CoapMessage &message)
+{
+    return { packet.begin() + static_cast<std::ptrdiff_t>(message.tailOffset), packet.end() };
+}
+
+bool isCancel(const CoapMessage &message)
+{
+    return message.observe.value_or(0) == 1;
+}
+
+} // namespace
+
+//--- Packets from callers
+
+void FeedShard::onCallerPacket(const Relay &origin, const CoapMessage &message, Actions &out)
+{
+    if (message.code == static_cast<uint8_t>(CoapCode::Empty)) {
+        this->onCallerEmpty(origin, message, out);
+        return;
+    }
+    if (message.code != static_cast<uint8_t>(CoapCode::Get) || message.observe.value_or(2) > 1) {
+        return;
+    }
+    const FeedKey key = makeFeedKey(origin.service, origin.caller, message.token);
+    const uint32_t index = this->store.findFeed(key);
+    const MemberId owner = this->relayTarget(origin, key.flow());
+    if (index == noIndex && owner != 0) {
+        this->keepEntryCopy(key, owner, origin, message);
+        this->relay(origin, owner, out);
+        return;
+    }
+    if (index == noIndex) {
+        this->beginFeed(key, origin, message, out);
+        return;
+    }
+    if (isCancel(message) && owner != 0) {
+        this->relay(origin, owner, out); // it may have taken the feed over already
+    }
+    this->renewFeed(index, origin, message, out);
+}
+
+void FeedShard::onCallerEmpty(const Relay &origin, const CoapMessage &message, Actions &out)
+{
+    const uint64_t flow = flowKey(origin.service, origin.caller);
+    for (uint32_t index = this->store.firstOfFlow(flow); index != noIndex; index = this->store.feed(index).nextOfFlow) {
+        Feed &feed = this->store.feed(index);
+        const auto sent = feed.recentIds.begin() + std::min<size_t>(feed.recentCount, feed.recentIds.size());
+        if (feed.key.caller != origin.caller || std::find(feed.recentIds.begin(), sent, message.messageId) == sent) {
+            continue;
+        }
+        if (message.type == CoapType::Reset) {
+            this->closeFeed(index, true, out);
+            return;
+        }
+        feed.confirmedAt = this->context.clock.now();
+        if (feed.unconfirmed && feed.unconfirmed->messageId == message.messageId) {
+            feed.unconfirmed.reset();
+            if (feed.closing) {
+                this->closeFeed(index, false, out);
+            }
+        } else if (feed.unconfirmed) {
+            feed.unconfirmed->attempts = 1; // it acknowledged an earlier one, so it is there
+        }
+        return;
+    }
+    const MemberId owner = this->relayTarget(origin, flow);
+    if (owner != 0) {
+        this->relay(origin, owner, out);
+    }
+}
+
+void FeedShard::beginFeed(const FeedKey &key, const Relay &origin, const CoapMessage &message, Actions &out)
+{
+    if (this->context.draining) {
+        this->refuse(origin, message, Reason::Draining, out);
+        return;
+    }
+    const uint64_t flow = key.flow();
+    size_t siblings = 0;
+    for (uint32_t other = this->store.firstOfFlow(flow); other != noIndex; other = this->store.feed(other).nextOfFlow) {
+        ++siblings;
+    }
+    if (siblings >= this->context.settings.feedsPerFlow) {
+        this->refuse(origin, message, Reason::NoSlot, out);
+        return;
+    }
+    const auto firstId = static_cast<uint16_t>(mixHash(flow ^ this->context.self, this->context.clock.wallMillis()));
+    const uint32_t index = this->store.addFeed(key, firstId);
+    const uint32_t registration = this->store.addRegistration(index);
+    if (registration == noIndex) {
+        this->store.removeFeed(index);
+        this->refuse(origin, message, Reason::NoSlot, out);
+        return;
+    }
+    Feed &feed = this->store.feed(index);
+    feed.current = registration;
+    feed.registration = this->store.shareText(tailOf(origin.packet, message));
+    feed.cancelling = isCancel(message);
+    this->copies.remove(key);
+    this->updateAnswer(feed, message);
+    this->context.counters.add(Counter::FeedsOpened);
+    if (!feed.cancelling) {
+        this->updateCopyHolder(index, origin.entry, out);
+    }
+    this->askPlace(registration, out);
+}
+
+void FeedShard::renewFeed(uint32_t index, const Relay &origin, const CoapMessage &message, Actions &out)
+{
+    Feed &feed = this->store.feed(index);
+    if (feed.closing) {
+        const FeedKey key = feed.key;
+        this->closeFeed(index, false, out);
+        this->beginFeed(key, origin, message, out);
+        return;
+    }
+    const bool isRepeat = feed.answerDue && feed.answerId == message.messageId;
+    if (isRepeat) {
+        return; // its answer is on the way
+    }
+    feed.cancelling = isCancel(message);
+    feed.registration = this->store.shareText(tailOf(origin.packet, message));
+    this->updateAnswer(feed, message);
+    if (feed.cancelling && feed.next != noIndex) {
+        this->endRegistration(feed.next, SlotOutcome::Cancelled, true, out);
+        feed.next = noIndex;
+    }
+    if (!feed.cancelling) {
+        this->updateCopyHolder(index, origin.entry, out);
+    }
+    Registration &current = this->store.registration(feed.current);
+    if (current.state != RegistrationState::Asking && current.state != RegistrationState::Waiting) {
+        current.attempts = 0;
+        this->sendGet(feed.current, out);
+    }
+}
+
+void FeedShard::updateAnswer(Feed &feed, const CoapMessage &message)
+{
+    feed.answerDue = true;
+    feed.answerId = message.messageId;
+    feed.answerType = message.type;
+    feed.confirmedAt = this->context.clock.now();
+    feed.unconfirmed.reset();
+}
+
+//--- Relays and copies
+
+MemberId FeedShard::relayTarget(const Relay &origin, uint64_t flow) const
+{
+    const MemberId owner = this->context.directory.flowOwner(flow);
+    return owner == this->context.self || origin.hops >= maxRelayHops ? 0 : owner;
+}
+
+void FeedShard::relay(const Relay &origin, MemberId owner, Actions &out)
+{
+    Relay onward = origin;
+    ++onward.hops;
+    this->context.counters.add(Counter::RelaysSent);
+    out.sendToPeer(owner, std::move(onward));
+}
+
+void FeedShard::keepEntryCopy(const FeedKey &key, MemberId owner, const Relay &origin, const CoapMessage &message)
+{
+    if (origin.entry != this->context.self) {
+        return;
+    }
+    if (isCancel(message)) {
+        this->copies.remove(key);
+        return;
+    }
+    FeedCopyEntry entry;
+    entry.key = key;
+    entry.registration = this->store.shareText(tailOf(origin.packet, message));
+    entry.owner = owner;
+    entry.storedAt = this->context.clock.now();
+    if (this->copies.update(std::move(entry))) {
+        this->context.counters.add(Counter::FeedCopiesStored);
+    }
+}
+
+void FeedShard::updateCopyHolder(uint32_t index, MemberId entry, Actions &out)
+{
+    Feed &feed = this->store.feed(index);
+    if (entry == this->context.self || this->isGone(entry)) {
+        if (feed.copyHolder == 0) {
+            this->copyQueue.push_back(feed.key);
+        }
+        return;
+    }
+    if (feed.copyHolder != 0 && feed.copyHolder != entry) {
+        out.sendToPeer(feed.copyHolder, FeedDrop{ feed.key.service, feed.key.caller, feed.key.token() });
+    }
+    feed.copyHolder = entry;
+    feed.copiedAt = this->context.clock.now();
+}
+
+//--- Refusals
+
+namespace {
+
+Bytes refusalTail(CoapCode code, Reason reason, Duration retryAfter)
+{
+    std::string text(nameOf(verdictOf(reason)));
+    text += ": ";
+    text += nameOf(reason);
+    const auto wait = std::max<int64_t>(1, std::chrono::ceil<seconds>(retryAfter).count());
+    const Bytes whole = buildCoap(CoapType::NonConfirmable, code, 0, {}, { { optionMaxAge, optionValue(static_cast<uint32_t>(wait)) } }, text);
+    return tailOf(whole, parseCoap(whole).value_or(CoapMessage{}));
+}
+
+} // namespace
+
+void FeedShard::refuse(const Relay &origin, const CoapMessage &message, Reason reason, Actions &out)
+{
+    this->context.counters.refuse(reason);
+    const Bytes tail = refusalTail(CoapCode::ServiceUnavailable, reason, {});
+    const CoapType type = message.type == CoapType::Confirmable ? CoapType::Acknowledgement : CoapType::NonConfirmable;
+    out.sendToCaller(origin.service, origin.caller,
+                     withHead(type, static_cast<uint8_t>(CoapCode::ServiceUnavailable), message.messageId, message.token, tail.data(), tail.size()));
+}
+
+void FeedShard::refuseFeed(uint32_t index, CoapCode code, Reason reason, Duration retryAfter, Actions &out)
+{
+    this->context.counters.refuse(reason);
+    this->sendUpdate(index, static_cast<uint8_t>(code), refusalTail(code, reason, retryAfter), true, out);
+}
+
+//--- Notifications
+
+void FeedShard::notify(uint32_t index, const CoapMessage &message, const uint8_t *data, size_t size, Actions &out)
+{
+    Feed &feed = this->store.feed(index);
+    const uint64_t wall = this->context.clock.wallMillis();
+    feed.sequence = nextSequence(feed.sequence, feed.sequenceAtMs, wall);
+    feed.sequenceAtMs = wall;
+    feed.established = true;
+    this->sendUpdate(index, message.code, tailWithObserve(message, data, size, feed.sequence), false, out);
+}
+
+// sends a state to the caller: as the answer to its GET when one waits, else as a notification. After the last one the feed is closed
+void FeedShard::sendUpdate(uint32_t index, uint8_t code, const Bytes &tail, bool last, Actions &out)
+{
+    Feed &feed = this->store.feed(index);
+    const TimePoint now = this->context.clock.now();
+    this->context.counters.add(Counter::NotificationsSent);
+    if (feed.answerDue && feed.answerType == CoapType::Confirmable) {
+        feed.answerDue = false;
+        out.sendToCaller(feed.key.service, feed.key.caller,
+                         withHead(CoapType::Acknowledgement, code, feed.answerId, feed.key.token(), tail.data(), tail.size()));
+        if (last) {
+            this->closeFeed(index, false, out);
+        }
+        return;
+    }
+    feed.answerDue = false;
+    const uint16_t messageId = this->store.nextCallerMessageId(feed.key.flow());
+    std::rotate(feed.recentIds.begin(), feed.recentIds.end() - 1, feed.recentIds.end());
+    feed.recentIds[0] = messageId;
+    feed.recentCount = static_cast<uint8_t>(std::min<size_t>(feed.recentCount + 1U, feed.recentIds.size()));
+    const bool confirmable = last || feed.unconfirmed || now - feed.confirmedAt >= this->context.settings.confirmInterval;
+    const CoapType type = confirmable ? CoapType::Confirmable : CoapType::NonConfirmable;
+    Bytes packet = withHead(type, code, messageId, feed.key.token(), tail.data(), tail.size());
+    if (confirmable) {
+        if (!feed.unconfirmed) {
+            feed.unconfirmed = std::make_unique<Unconfirmed>();
+            feed.unconfirmed->attempts = 1;
+            feed.unconfirmed->dueAt = now + this->context.settings.confirmTimeout;
+        }
+        feed.unconfirmed->packet = packet;
+        feed.unconfirmed->messageId = messageId;
+    }
+    out.sendToCaller(feed.key.service, feed.key.caller, std::move(packet));
+    if (last) {
+        feed.closing = true;
+        this->endRegistrations(index, false, out);
+    }
+    this->schedule(index);
+}
+
+void FeedShard::runConfirm(uint32_t index, Actions &out)
+{
+    Feed &feed = this->store.feed(index);
+    Unconfirmed &waiting = *feed.unconfirmed;
+    if (waiting.attempts >= this->context.settings.confirmAttempts) {
+        this->closeFeed(index, true, out); // the caller is gone
+        return;
+    }
+    out.sendToCaller(feed.key.service, feed.key.caller, waiting.packet);
+    waiting.dueAt = this->context.clock.now() + this->context.settings.confirmTimeout * (1U << waiting.attempts);
+    ++waiting.attempts;
+}
+
+} // namespace hornbeam
--- /dev/null
+++ b/src/feeds/feedcontext.h
@@ -0,0 +1,71 @@
+#pragma once
+
+// What the shards of the feeds part share.
+
+#include "core/counters.h"
+#include "feeds/feedsettings.h"
+#include "feeds/pace.h"
+#include "peer/directory.h"
+#include "slots/places.h"
+#include "table/servicetable.h"
+
+#include <atomic>
+#include <unordered_map>
+
+namespace hornbeam {
+
+/** Message IDs of GETs sent to targets: a rising counter for each target in the range that belongs to feeds. Thread safe. */
+class TargetMessageIds
+{
+public:
+    uint16_t next(const Endpoint &target)
+    {
+        const std::lock_guard lock(this->mutex);
+        const uint16_t counter = this->counters[target]++;
+        return static_cast<uint16_t>(partBits | (counter & counterMask));
+    }
+
+private:
+    static constexpr uint16_t partBits = 0x4000;
+    static constexpr uint16_t counterMask = 0x3FFF;
+    std::mutex mutex;
+    std::unordered_map<Endpoint, uint16_t> counters;
+};
+
+struct FeedContext
+{
+    FeedContext(const FeedSettings &settings, const MemberDirectory &directory, const TableSource &tables, PlaceClient &places, const Clock &clock,
+                Counters &counters)
+        : settings(settings)
+        , directory(directory)
+        , tables(tables)
+        , places(places)
+        , clock(clock)
+        , counters(counters)
+        , self(directory.self().id)
+        , moveBytes(settings.moveBytesPerSecond)
+        , targetMoves(settings.movesPerSecond)
+    {
+    }
+
+    const FeedSettings settings;
+    const MemberDirectory &directory;
+    const TableSource &tables;
+    PlaceClient &places;
+    const Clock &clock;
+    Counters &counters;
+    const MemberId self;
+    TargetMessageIds messageIds;
+    Pace moveBytes;
+    Pace targetMoves;
+    std::atomic<bool> draining = false;
+    std::atomic<TimePoint> drainStart = never();
+
+private:
+    static constexpr TimePoint never()
+    {
+        return TimePoint::max();
+    }
+};
+
+} // namespace hornbeam
--- /dev/null
+++ b/src/feeds/feedengine.cpp
@@ -0,0 +1,229 @@
+// Sections: packets | messages | places | time | state
+
+#include "feeds/feedengine.h"
+
+#include "core/upstreamtoken.h"
+
+#include <algorithm>
+
+namespace hornbeam {
+
+namespace {
+
+constexpr double drainBytesPerFeed = 48; // a FeedMove's share of one feed, with room for repeats
+
+} // namespace
+
+FeedEngine::FeedEngine(const FeedSettings &settings, const MemberDirectory &directory, const TableSource &tables, PlaceClient &places, const Clock &clock,
+                       Counters &counters)
+    : context(settings, directory, tables, places, clock, counters)
+{
+    for (size_t number = 0; number < shardCount; ++number) {
+        this->shards.push_back(std::make_unique<FeedShard>(number, this->context));
+    }
+    this->seenView = directory.viewVersion();
+    this->seenTables = tables.changes();
+}
+
+//--- Packets
+
+void FeedEngine::onCallerPacket(const Relay &origin, const CoapMessage &message, Actions &out)
+{
+    FeedShard &shard = this->shardFor(flowKey(origin.service, origin.caller));
+    const std::lock_guard lock(shard.mutex);
+    shard.onCallerPacket(origin, message, out);
+}
+
+void FeedEngine::onTargetPacket(const Endpoint &target, const uint8_t *data, size_t size, const CoapMessage &message, Actions &out)
+{
+    uint64_t number = 0;
+    if (readToken(message.token, TokenKind::Feed, number)) {
+        FeedShard &shard = *this->shards[shardOfNumber(number)];
+        const std::lock_guard lock(shard.mutex);
+        shard.onTargetPacket(number, target, data, size, message, out);
+        return;
+    }
+    if (message.type != CoapType::Reset) {
+        return;
+    }
+    for (const auto &shard : this->shards) { // an RST carries no token
+        const std::lock_guard lock(shard->mutex);
+        shard->onTargetReset(target, message.messageId);
+    }
+}
+
+void FeedEngine::onTargetUnreachable(const Endpoint &target)
+{
+    for (const auto &shard : this->shards) {
+        const std::lock_guard lock(shard->mutex);
+        shard->onTargetUnreachable(target);
+    }
+}
+
+//--- Messages
+
+void FeedEngine::onMessage(const FeedMove &move, Actions &out)
+{
+    const MemberId sender = move.sender != 0 ? move.sender : move.feed.owner;
+    FeedState state = move.feed;
+    for (size_t i = 0; i <= move.others.size(); ++i) {
+        if (i > 0) {
+            state.caller = move.others[i - 1].caller;
+            state.token = move.others[i - 1].token;
+            state.sequence = move.others[i - 1].sequence;
+        }
+        FeedShard &shard = this->shardFor(flowKey(state.service, state.caller));
+        const std::lock_guard lock(shard.mutex);
+        shard.onMove(state, sender, out);
+    }
+}
+
+void FeedEngine::onMessage(const FeedCopy &copy, Actions &out)
+{
+    FeedState state = copy.feed;
+    for (size_t i = 0; i <= copy.others.size(); ++i) {
+        if (i > 0) {
+            state.caller = copy.others[i - 1].caller;
+            state.token = copy.others[i - 1].token;
+            state.sequence = copy.others[i - 1].sequence;
+        }
+        FeedShard &shard = this->shardFor(flowKey(state.service, state.caller));
+        const std::lock_guard lock(shard.mutex);
+        shard.onCopy(state, out);
+    }
+}
+
+void FeedEngine::onMessage(const FeedTaken &taken, Actions &out)
+{
+    FeedKey key = makeFeedKey(taken.service, taken.caller, taken.token);
+    for (size_t i = 0; i <= taken.others.size(); ++i) {
+        if (i > 0) {
+            key = makeFeedKey(taken.service, taken.others[i - 1].caller, taken.others[i - 1].token);
+        }
+        FeedShard &shard = this->shardFor(key.flow());
+        const std::lock_guard lock(shard.mutex);
+        shard.onTaken(key, taken.owner, out);
+    }
+}
+
+void FeedEngine::onMessage(const FeedDrop &drop, Actions &)
+{
+    const FeedKey key = makeFeedKey(drop.service, drop.caller, drop.token);
+    FeedShard &shard = this->shardFor(key.flow());
+    const std::lock_guard lock(shard.mutex);
+    shard.onDrop(key);
+}
+
+void FeedEngine::onMessage(const TargetNotice &notice, Actions &)
+{
+    for (const auto &shard : this->shards) {
+        const std::lock_guard lock(shard->mutex);
+        shard->onNotice(notice);
+    }
+}
+
+//--- Places
+
+void FeedEngine::placeGranted(const Place &place, Actions &out)
+{
+    FeedShard &shard = *this->shards[shardOfNumber(place.request)];
+    const std::lock_guard lock(shard.mutex);
+    shard.placeGranted(place, out);
+}
+
+void FeedEngine::placeRefused(uint64_t request, Reason reason, Duration retryAfter, Actions &out)
+{
+    FeedShard &shard = *this->shards[shardOfNumber(request)];
+    const std::lock_guard lock(shard.mutex);
+    shard.placeRefused(request, reason, retryAfter, out);
+}
+
+//--- Time
+
+void FeedEngine::checkChanges()
+{
+    const uint64_t view = this->context.directory.viewVersion();
+    const uint64_t tables = this->context.tables.changes();
+    const bool viewChanged = this->seenView.exchange(view) != view;
+    const bool tablesChanged = this->seenTables.exchange(tables) != tables;
+    if (!viewChanged && !tablesChanged) {
+        return;
+    }
+    for (const auto &shard : this->shards) {
+        const std::lock_guard lock(shard->mutex);
+        shard->beginSweep();
+    }
+}
+
+void FeedEngine::tick(Actions &out)
+{
+    this->checkChanges();
+    const FeedSettings &settings = this->context.settings;
+    const TimePoint start = this->context.drainStart;
+    if (this->context.draining && this->context.clock.now() >= start + settings.copyGrace && !this->drainRateSet.exchange(true)) {
+        const double left = static_cast<double>(this->open()) * drainBytesPerFeed;
+        this->context.moveBytes.updateRate(std::max(settings.moveBytesPerSecond, left / std::chrono::duration<double>(settings.drainTime).count()));
+    }
+    const size_t first = this->firstShard.fetch_add(1); // no shard is always the first at the budgets
+    for (size_t i = 0; i < shardCount; ++i) {
+        FeedShard &shard = *this->shards[(first + i) % shardCount];
+        const std::lock_guard lock(shard.mutex);
+        shard.tick(out);
+    }
+}
+
+void FeedEngine::beginDrain(Actions &)
+{
+    if (this->context.draining) {
+        return;
+    }
+    this->context.drainStart = this->context.clock.now();
+    this->context.draining = true;
+    for (const auto &shard : this->shards) {
+        const std::lock_guard lock(shard->mutex);
+        shard->beginSweep();
+    }
+}
+
+bool FeedEngine::isIdle() const
+{
+    return std::all_of(this->shards.begin(), this->shards.end(), [](const auto &shard) {
+        const std::lock_guard lock(shard->mutex);
+        return shard->isIdle();
+    });
+}
+
+//--- State
+
+size_t FeedEngine::open() const
+{
+    size_t total = 0;
+    for (const auto &shard : this->shards) {
+        const std::lock_guard lock(shard->mutex);
+        total += shard->open();
+    }
+    return total;
+}
+
+size_t FeedEngine::copies() const
+{
+    size_t total = 0;
+    for (const auto &shard : this->shards) {
+        const std::lock_guard lock(shard->mutex);
+        total += shard->copyCount();
+    }
+    return total;
+}
+
+std::string FeedEngine::dump() const
+{
+    size_t copyBytes = 0;
+    for (const auto &shard : this->shards) {
+        const std::lock_guard lock(shard->mutex);
+        copyBytes += shard->copyBytes();
+    }
+    return "feeds=" + std::to_string(this->open()) + " copies=" + std::to_string(this->copies()) + " copy_bytes=" + std::to_string(copyBytes)
+        + " draining=" + (this->context.draining ? "yes" : "no");
+}
+
+} // namespace hornbeam
--- /dev/null
+++ b/src/feeds/feedmoves.cpp
@@ -0,0 +1,407 @@
+// Owners of a shard's feeds: what is moved where, and the copies.
+//
+// Sections: messages | checks after a change | sending
+
+#include "feeds/feedshard.h"
+
+#include <algorithm>
+
+namespace hornbeam {
+
+namespace {
+
+constexpr size_t feedsPerMessage = 32;     // keeps a message below the smallest usual MTU
+constexpr double messageBytes = 110;       // head, signature and first feed of a message, about
+constexpr double feedBytes = 24;           // each further feed, about
+constexpr size_t replacementsPerTick = 64; // in one shard
+constexpr size_t copiesDroppedPerTick = 64;
+
+} // namespace
+
+//--- Messages
+
+// A feed is accepted even when this view names another owner: the sender's view does not, and once both agree a sweep moves it on.
+void FeedShard::onMove(const FeedState &state, MemberId sender, Actions &out)
+{
+    const FeedKey key = makeFeedKey(state.service, state.caller, state.token);
+    const uint32_t index = this->store.findFeed(key);
+    if (index != noIndex) {
+        const auto moving = this->moves.find(index);
+        if (moving != this->moves.end() && moving->second.to == sender) {
+            if (this->context.self < sender || this->context.draining) {
+                return; // both offer it to the other: the higher identifier keeps it until the views agree
+            }
+        }
+    }
+    const uint32_t taken = index == noIndex ? this->adopt(state, key, out) : index;
+    if (taken == noIndex) {
+        return; // the sender tries again
+    }
+    this->addTakeover(taken, sender);
+    const auto owner = this->context.directory.find(state.owner);
+    if (state.owner != sender && owner && owner->state <= MemberState::Leaving) {
+        this->addTakeover(taken, state.owner); // it still serves the feed
+    }
+    const Feed &feed = this->store.feed(taken);
+    if (feed.current == noIndex || this->store.registration(feed.current).state == RegistrationState::Live
+        || this->store.registration(feed.current).state == RegistrationState::Refreshing) {
+        this->tellTaken(taken);
+    }
+}
+
+uint32_t FeedShard::adopt(const FeedState &state, const FeedKey &key, Actions &out)
+{
+    const uint64_t wall = this->context.clock.wallMillis();
+    const uint32_t index = this->store.addFeed(key, static_cast<uint16_t>(mixHash(key.flow() ^ this->context.self, wall)));
+    const uint32_t registration = this->store.addRegistration(index);
+    if (registration == noIndex) {
+        this->store.removeFeed(index);
+        return noIndex;
+    }
+    Feed &feed = this->store.feed(index);
+    feed.current = registration;
+    feed.registration = this->store.shareText(state.registration);
+    feed.established = true;
+    // above all that the last owner may have sent, though its clock may be ahead
+    feed.sequence = nextSequence(state.sequence, state.sequence == 0 ? 0 : wall, wall + this->context.settings.takeoverMargin);
+    feed.sequenceAtMs = wall;
+    feed.copyHolder = this->isGone(state.copyHolder) ? 0 : state.copyHolder;
+    feed.copiedAt = this->context.clock.now();
+    if (feed.copyHolder == 0 || feed.copyHolder == this->context.self) {
+        feed.copyHolder = 0;
+        this->copyQueue.push_back(key);
+    }
+    this->copies.remove(key);
+    this->context.counters.add(Counter::FeedsMovedIn);
+    this->context.counters.retry(RetryReason::OwnerChanged);
+    this->askPlace(registration, out);
+    this->checkFeed(index, out);
+    return index;
+}
+
+void FeedShard::onCopy(const FeedState &state, Actions &out)
+{
+    FeedCopyEntry entry;
+    entry.key = makeFeedKey(state.service, state.caller, state.token);
+    if (this->store.findFeed(entry.key) != noIndex) {
+        return;
+    }
+    entry.registration = this->store.shareText(state.registration);
+    entry.sequence = state.sequence;
+    entry.owner = state.owner;
+    entry.storedAt = this->context.clock.now();
+    if (this->copies.update(std::move(entry))) {
+        this->context.counters.add(Counter::FeedCopiesStored);
+    }
+    this->checkCopy(*this->copies.find(makeFeedKey(state.service, state.caller, state.token)), out); // its owner may be gone by now
+}
+
+void FeedShard::onTaken(const FeedKey &key, MemberId owner, Actions &out)
+{
+    FeedCopyEntry *copy = this->copies.find(key);
+    if (copy != nullptr && copy->pushTo == owner) {
+        copy->owner = owner;
+        copy->pushTo = 0;
+        copy->pushFor = 0;
+    }
+    const uint32_t index = this->store.findFeed(key);
+    if (index == noIndex || owner == this->context.self) {
+        return;
+    }
+    const auto moving = this->moves.find(index);
+    const bool isExpected = moving != this->moves.end() ? moving->second.to == owner : this->context.directory.flowOwner(key.flow()) == owner;
+    if (!isExpected) {
+        return;
+    }
+    this->endRegistrations(index, true, out);
+    this->context.counters.add(Counter::FeedsMovedOut);
+    this->removeFeed(index);
+}
+
+void FeedShard::onDrop(const FeedKey &key)
+{
+    this->copies.remove(key);
+}
+
+void FeedShard::addTakeover(uint32_t index, MemberId peer)
+{
+    auto &peers = this->takeovers[index];
+    if (peer != 0 && peer != this->context.self && std::find(peers.begin(), peers.end(), peer) == peers.end()) {
+        peers.push_back(peer);
+    }
+}
+
+void FeedShard::tellTaken(uint32_t index)
+{
+    const auto waiting = this->takeovers.find(index);
+    if (waiting == this->takeovers.end()) {
+        return;
+    }
+    const FeedKey &key = this->store.feed(index).key;
+    for (const MemberId peer : waiting->second) {
+        this->taken[TakenGroup{ peer, key.service }].push_back(FeedCaller{ key.caller, key.token(), 0 });
+    }
+    this->takeovers.erase(waiting);
+}
+
+//--- Checks after a change
+
+void FeedShard::beginSweep()
+{
+    this->feedsToCheck = this->store.feedLimit();
+    this->copiesToCheck = this->copies.size();
+}
+
+void FeedShard::sweep(Actions &out)
+{
+    size_t budget = this->context.settings.sweepPerTick;
+    for (; budget > 0 && this->feedsToCheck > 0; --budget) {
+        --this->feedsToCheck;
+        this->feedCursor = this->feedCursor + 1 < this->store.feedLimit() ? this->feedCursor + 1 : 0;
+        if (this->store.feed(static_cast<uint32_t>(this->feedCursor)).used) {
+            this->checkFeed(static_cast<uint32_t>(this->feedCursor), out);
+        }
+    }
+    if (this->feedsToCheck == 0) {
+        this->unreachable.clear();
+    }
+    for (; budget > 0 && this->copiesToCheck > 0; --budget) {
+        --this->copiesToCheck;
+        if (FeedCopyEntry *entry = this->copies.nextToCheck()) {
+            this->checkCopy(*entry, out);
+        }
+    }
+}
+
+void FeedShard::checkFeed(uint32_t index, Actions &out)
+{
+    Feed &feed = this->store.feed(index);
+    if (feed.closing && this->context.draining) {
+        this->closeFeed(index, false, out);
+    }
+    if (!feed.used || feed.closing || feed.cancelling) {
+        return;
+    }
+    const MemberId owner = this->context.directory.flowOwner(feed.key.flow());
+    if (owner == this->context.self) {
+        this->moves.erase(index);
+    } else if (owner != 0) {
+        const auto [move, isNew] = this->moves.try_emplace(index);
+        move->second.to = owner;
+        if (isNew) {
+            this->outgoing.push_back(feed.key);
+        }
+    }
+    if (feed.copyHolder != 0 && this->isGone(feed.copyHolder)) {
+        feed.copyHolder = 0;
+        this->copyQueue.push_back(feed.key);
+    }
+    Registration &current = this->store.registration(feed.current);
+    if (current.state == RegistrationState::Asking || current.state == RegistrationState::Waiting) {
+        return;
+    }
+    if (feed.next == noIndex && !this->isUsable(feed.key.service, current)) {
+        this->replacements.push_back(index);
+    }
+    const auto lost = this->unreachable.find(current.endpoint);
+    if (lost != this->unreachable.end() && current.heardAt <= lost->second && current.state == RegistrationState::Live) {
+        current.dueAt = this->context.clock.now();
+        this->schedule(index);
+    }
+}
+
+void FeedShard::checkCopy(FeedCopyEntry &entry, Actions &out)
+{
+    const TimePoint now = this->context.clock.now();
+    const MemberId owner = this->context.directory.flowOwner(entry.key.flow());
+    if (owner == 0) {
+        return;
+    }
+    if (owner != entry.owner) {
+        entry.previousOwner = entry.owner;
+        entry.owner = owner;
+        entry.ownerChangedAt = now;
+    }
+    const bool isOrphan = entry.previousOwner != 0 && this->isGone(entry.previousOwner);
+    if (!isOrphan && now - entry.ownerChangedAt > this->context.settings.ownerMemory) {
+        entry.previousOwner = 0;
+    }
+    if (!isOrphan && entry.pushTo == 0) {
+        return; // a living owner moves its feeds itself
+    }
+    if (isOrphan) {
+        entry.pushFor = entry.previousOwner;
+        entry.previousOwner = 0;
+    }
+    if (owner != this->context.self) {
+        if (entry.pushTo == 0) {
+            this->outgoing.push_back(entry.key);
+        }
+        entry.pushTo = owner;
+        return;
+    }
+    FeedState state{ entry.key.service, entry.key.caller, entry.key.token(), *entry.registration, entry.sequence, entry.pushFor, 0 };
+    this->onMove(state, this->context.self, out);
+}
+
+bool FeedShard::isGone(MemberId member) const
+{
+    const auto record = this->context.directory.find(member);
+    return !record || (record->state != MemberState::Alive && record->state != MemberState::Suspect);
+}
+
+MemberId FeedShard::chooseCopyHolder(uint64_t flow) const
+{
+    const ZoneId zone = this->context.directory.self().zone;
+    for (size_t rank = 0; rank < 2; ++rank) {
+        const MemberId member = this->context.directory.ownerIn(zone, flow, rank);
+        if (member != 0 && member != this->context.self) {
+            return member;
+        }
+    }
+    return 0;
+}
+
+//--- Sending
+
+void FeedShard::sendReplacements(Actions &out)
+{
+    const TimePoint now = this->context.clock.now();
+    for (size_t sent = 0; sent < replacementsPerTick && !this->replacements.empty() && this->context.targetMoves.isOpen(now); ++sent) {
+        const uint32_t index = this->replacements.front();
+        this->replacements.pop_front();
+        const Feed &feed = this->store.feed(index);
+        if (!feed.used || feed.closing || feed.cancelling || feed.next != noIndex) {
+            continue;
+        }
+        const Registration &current = this->store.registration(feed.current);
+        const bool isPlaced = current.state != RegistrationState::Asking && current.state != RegistrationState::Waiting;
+        if (isPlaced && !this->isUsable(feed.key.service, current)) {
+            this->context.targetMoves.take(1);
+            this->replaceTarget(index, RetryReason::TargetDraining, false, out);
+        }
+    }
+}
+
+// adds what is still to be moved to a batch; returns false when nothing is
+bool FeedShard::addToBatch(const FeedKey &key, MoveBatch &batch)
+{
+    const uint32_t index = this->store.findFeed(key);
+    if (index != noIndex) {
+        const auto move = this->moves.find(index);
+        if (move == this->moves.end()) {
+            return false;
+        }
+        const Feed &feed = this->store.feed(index);
+        const MemberId holder = feed.copyHolder == move->second.to ? 0 : feed.copyHolder;
+        batch[MoveGroup{ move->second.to, this->context.self, holder, key.service, feed.registration }].push_back(
+            FeedCaller{ key.caller, key.token(), feed.sequence });
+        return true;
+    }
+    const FeedCopyEntry *copy = this->copies.find(key);
+    if (copy == nullptr || copy->pushTo == 0) {
+        return false;
+    }
+    batch[MoveGroup{ copy->pushTo, copy->pushFor, this->context.self, key.service, copy->registration }].push_back(
+        FeedCaller{ key.caller, key.token(), copy->sequence });
+    return true;
+}
+
+namespace {
+
+FeedState firstOf(ServiceId service, const Bytes &text, MemberId owner, MemberId copyHolder, std::vector<FeedCaller> &feeds)
+{
+    FeedState state{ service, feeds.back().caller, std::move(feeds.back().token), text, feeds.back().sequence, owner, copyHolder };
+    feeds.pop_back();
+    return state;
+}
+
+double sizeOf(const Bytes &text, size_t feeds)
+{
+    return messageBytes + static_cast<double>(text.size()) + feedBytes * static_cast<double>(feeds);
+}
+
+} // namespace
+
+void FeedShard::sendMoves(Actions &out)
+{
+    const TimePoint now = this->context.clock.now();
+    const TimePoint start = this->context.drainStart;
+    const bool isHeld = this->context.draining && now < start + this->context.settings.copyGrace;
+    if (isHeld || !this->context.moveBytes.isOpen(now)) {
+        return;
+    }
+    MoveBatch batch;
+    for (size_t taken = 0; taken < feedsPerMessage;) {
+        const bool isResendDue = !this->resend.empty() && this->resend.front().sentAt + this->context.settings.moveRetry <= now;
+        if (this->outgoing.empty() && !isResendDue) {
+            break;
+        }
+        const FeedKey key = this->outgoing.empty() ? this->resend.front().key : this->outgoing.front();
+        this->outgoing.empty() ? this->resend.pop_front() : this->outgoing.pop_front();
+        if (this->addToBatch(key, batch)) {
+            this->resend.push_back(Resend{ key, now });
+            ++taken;
+        }
+    }
+    for (auto &[group, feeds] : batch) {
+        this->context.moveBytes.take(sizeOf(*group.text, feeds.size()));
+        FeedState first = firstOf(group.service, *group.text, group.owner, group.copyHolder, feeds);
+        out.sendToPeer(group.to, FeedMove{ std::move(first), this->context.self, std::move(feeds) });
+    }
+}
+
+void FeedShard::sendCopies(Actions &out)
+{
+    if (this->context.draining || this->copyQueue.empty() || !this->context.moveBytes.isOpen(this->context.clock.now())) {
+        return;
+    }
+    MoveBatch batch;
+    for (size_t taken = 0; taken < feedsPerMessage && !this->copyQueue.empty(); ++taken) {
+        const uint32_t index = this->store.findFeed(this->copyQueue.front());
+        this->copyQueue.pop_front();
+        if (index == noIndex || this->store.feed(index).closing) {
+            continue;
+        }
+        Feed &feed = this->store.feed(index);
+        feed.copyHolder = feed.copyHolder != 0 ? feed.copyHolder : this->chooseCopyHolder(feed.key.flow());
+        feed.copiedAt = this->context.clock.now();
+        if (feed.copyHolder != 0) {
+            batch[MoveGroup{ feed.copyHolder, this->context.self, feed.copyHolder, feed.key.service, feed.registration }].push_back(
+                FeedCaller{ feed.key.caller, feed.key.token(), feed.sequence });
+        }
+    }
+    for (auto &[group, feeds] : batch) {
+        this->context.moveBytes.take(sizeOf(*group.text, feeds.size()));
+        FeedState first = firstOf(group.service, *group.text, group.owner, group.copyHolder, feeds);
+        out.sendToPeer(group.to, FeedCopy{ std::move(first), std::move(feeds) });
+    }
+}
+
+void FeedShard::sendTaken(Actions &out)
+{
+    for (auto &[group, feeds] : this->taken) {
+        for (size_t begin = 0; begin < feeds.size(); begin += feedsPerMessage) {
+            const auto from = feeds.begin() + static_cast<std::ptrdiff_t>(begin);
+            const auto to = feeds.begin() + static_cast<std::ptrdiff_t>(std::min(begin + feedsPerMessage, feeds.size()));
+            FeedTaken message{ group.service, from->caller, from->token, this->context.self, std::vector<FeedCaller>(from + 1, to) };
+            out.sendToPeer(group.to, std::move(message));
+        }
+    }
+    this->taken.clear();
+}
+
+void FeedShard::removeOldCopies()
+{
+    const TimePoint now = this->context.clock.now();
+    for (size_t dropped = 0; dropped < copiesDroppedPerTick; ++dropped) {
+        const FeedCopyEntry *oldest = this->copies.oldest();
+        if (oldest == nullptr || oldest->storedAt + this->context.settings.copyLifetime > now) {
+            return;
+        }
+        const FeedKey key = oldest->key;
+        this->copies.remove(key);
+    }
+}
+
+} // namespace hornbeam
--- /dev/null
+++ b/src/feeds/feedshard.cpp
@@ -0,0 +1,100 @@
+// Time and the ends of a shard's feeds.
+
+#include "feeds/feedshard.h"
+
+#include <algorithm>
+
+namespace hornbeam {
+
+FeedShard::FeedShard(size_t number, FeedContext &context)
+    : context(context), store(number, context.clock.wallMillis()), copies(context.settings.copyBytes / shardCount)
+{
+}
+
+void FeedShard::tick(Actions &out)
+{
+    const TimePoint now = this->context.clock.now();
+    for (size_t run = 0; run < this->context.settings.timersPerTick; ++run) {
+        const uint32_t index = this->store.takeDue(now);
+        if (index == noIndex) {
+            break;
+        }
+        this->runFeed(index, out);
+    }
+    this->sweep(out);
+    this->sendReplacements(out);
+    this->sendTaken(out);
+    this->sendMoves(out);
+    this->sendCopies(out);
+    this->removeOldCopies();
+}
+
+void FeedShard::runFeed(uint32_t index, Actions &out)
+{
+    const TimePoint now = this->context.clock.now();
+    Feed &feed = this->store.feed(index);
+    if (feed.unconfirmed && feed.unconfirmed->dueAt <= now) {
+        this->runConfirm(index, out);
+    }
+    for (uint32_t Feed::*which : { &Feed::next, &Feed::current }) {
+        const uint32_t registration = feed.*which; // an earlier step may have ended the feed or this registration
+        if (feed.used && registration != noIndex && this->store.registration(registration).dueAt <= now) {
+            this->runRegistration(registration, out);
+        }
+    }
+    if (feed.used) {
+        this->schedule(index);
+    }
+}
+
+void FeedShard::schedule(uint32_t index)
+{
+    const Feed &feed = this->store.feed(index);
+    TimePoint at = feed.unconfirmed ? feed.unconfirmed->dueAt : never;
+    for (const uint32_t registration : { feed.current, feed.next }) {
+        if (registration != noIndex) {
+            at = std::min(at, this->store.registration(registration).dueAt);
+        }
+    }
+    if (at != never) {
+        this->store.addTimer(index, at);
+    }
+}
+
+void FeedShard::endRegistrations(uint32_t index, bool deregister, Actions &out)
+{
+    Feed &feed = this->store.feed(index);
+    for (uint32_t Feed::*which : { &Feed::next, &Feed::current }) {
+        if (feed.*which != noIndex) {
+            this->endRegistration(feed.*which, SlotOutcome::Answered, deregister, out);
+            feed.*which = noIndex;
+        }
+    }
+}
+
+void FeedShard::closeFeed(uint32_t index, bool deregister, Actions &out)
+{
+    this->endRegistrations(index, deregister, out);
+    Feed &feed = this->store.feed(index);
+    if (feed.copyHolder != 0) {
+        out.sendToPeer(feed.copyHolder, FeedDrop{ feed.key.service, feed.key.caller, feed.key.token() });
+    }
+    this->tellTaken(index); // whoever moved it here may stop
+    this->copies.remove(feed.key);
+    this->context.counters.add(Counter::FeedsClosed);
+    this->removeFeed(index);
+}
+
+void FeedShard::removeFeed(uint32_t index)
+{
+    this->moves.erase(index);
+    this->takeovers.erase(index);
+    this->store.removeFeed(index);
+}
+
+bool FeedShard::isIdle() const
+{
+    return this->store.feedCount() == 0 && this->outgoing.empty() && this->resend.empty() && this->taken.empty();
+}
+
+} // namespace hornbeam
--- /dev/null
+++ b/src/feeds/feedshard.h
@@ -0,0 +1,165 @@
+#pragma once
+
+// The decisions about the feeds of one shard. The engine holds the shard's mutex around each call.
+//
+// Sections: callers | targets | owners and copies | time
+
+#include "feeds/feedcontext.h"
+#include "feeds/feedcopies.h"
+#include "feeds/feedstore.h"
+#include "feeds/sequence.h"
+#include "peer/actions.h"
+
+#include <map>
+#include <mutex>
+
+namespace hornbeam {
+
+/** Not thread safe: the caller holds `mutex`. Calls the PlaceClient with it held. */
+class FeedShard
+{
+public:
+    FeedShard(size_t number, FeedContext &context);
+
+    std::mutex mutex;
+
+    //--- Callers
+
+    /** A GET with Observe, or an empty message. Relays what another member owns. */
+    void onCallerPacket(const Relay &origin, const CoapMessage &message, Actions &out);
+
+    //--- Targets
+
+    void onTargetPacket(uint64_t number, const Endpoint &target, const uint8_t *data, size_t size, const CoapMessage &message, Actions &out);
+    /** A target reset the GET of this message ID. Ignored when none of this shard's feeds sent it. */
+    void onTargetReset(const Endpoint &target, uint16_t messageId);
+    void onTargetUnreachable(const Endpoint &target);
+    void onNotice(const TargetNotice &notice);
+    void placeGranted(const Place &place, Actions &out);
+    void placeRefused(uint64_t request, Reason reason, Duration retryAfter, Actions &out);
+
+    //--- Owners and copies
+
+    void onMove(const FeedState &state, MemberId sender, Actions &out);
+    void onCopy(const FeedState &state, Actions &out);
+    void onTaken(const FeedKey &key, MemberId owner, Actions &out);
+    void onDrop(const FeedKey &key);
+    /** Checks every feed and copy anew over the next ticks: the view, a table or a notice has changed. */
+    void beginSweep();
+    bool isIdle() const;
+
+    //--- Time
+
+    void tick(Actions &out);
+    size_t open() const
+    {
+        return this->store.feedCount();
+    }
+    size_t copyCount() const
+    {
+        return this->copies.size();
+    }
+    size_t copyBytes() const
+    {
+        return this->copies.bytes();
+    }
+
+private:
+    struct OutgoingMove
+    {
+        MemberId to = 0;
+    };
+    struct Resend
+    {
+        FeedKey key;
+        TimePoint sentAt;
+    };
+    struct MoveGroup // feeds that fit into one message
+    {
+        MemberId to = 0;
+        MemberId owner = 0;
+        MemberId copyHolder = 0;
+        ServiceId service = 0;
+        std::shared_ptr<const Bytes> text;
+        auto operator<=>(const MoveGroup &) const = default;
+    };
+    struct TakenGroup
+    {
+        MemberId to = 0;
+        ServiceId service = 0;
+        auto operator<=>(const TakenGroup &) const = default;
+    };
+    using MoveBatch = std::map<MoveGroup, std::vector<FeedCaller>>;
+
+    // callers
+    void onCallerEmpty(const Relay &origin, const CoapMessage &message, Actions &out);
+    void beginFeed(const FeedKey &key, const Relay &origin, const CoapMessage &message, Actions &out);
+    void renewFeed(uint32_t index, const Relay &origin, const CoapMessage &message, Actions &out);
+    void updateAnswer(Feed &feed, const CoapMessage &message);
+    void updateCopyHolder(uint32_t index, MemberId entry, Actions &out);
+    void keepEntryCopy(const FeedKey &key, MemberId owner, const Relay &origin, const CoapMessage &message);
+    MemberId relayTarget(const Relay &origin, uint64_t flow) const;
+    void relay(const Relay &origin, MemberId owner, Actions &out);
+    void refuse(const Relay &origin, const CoapMessage &message, Reason reason, Actions &out);
+    void refuseFeed(uint32_t index, CoapCode code, Reason reason, Duration retryAfter, Actions &out);
+    void notify(uint32_t index, const CoapMessage &message, const uint8_t *data, size_t size, Actions &out);
+    void sendUpdate(uint32_t index, uint8_t code, const Bytes &tail, bool last, Actions &out);
+    void runConfirm(uint32_t index, Actions &out);
+
+    // targets
+    void askPlace(uint32_t registration, Actions &out);
+    void placeFailed(uint32_t registration, Reason reason, Duration retryAfter, Actions &out);
+    void sendGet(uint32_t registration, Actions &out);
+    void sendDeregister(const Registration &registration, Actions &out);
+    void onUpdate(uint32_t registration, TimePoint heardBefore, const uint8_t *data, size_t size, const CoapMessage &message, Actions &out);
+    bool isNewer(const Registration &registration, TimePoint heardBefore, const CoapMessage &message, bool isAnswer) const;
+    void onFinal(uint32_t registration, const uint8_t *data, size_t size, const CoapMessage &message, Actions &out);
+    void onSilent(uint32_t registration, Actions &out);
+    void onRegistered(uint32_t registration, const CoapMessage &message, Actions &out);
+    void failRegistration(uint32_t registration, SlotOutcome outcome, Actions &out);
+    void endRegistration(uint32_t registration, SlotOutcome outcome, bool deregister, Actions &out);
+    void replaceTarget(uint32_t index, RetryReason reason, bool afterSilence, Actions &out);
+    void runRegistration(uint32_t registration, Actions &out);
+    bool isUsable(ServiceId service, const Registration &registration) const;
+
+    // owners and copies
+    uint32_t adopt(const FeedState &state, const FeedKey &key, Actions &out);
+    void addTakeover(uint32_t index, MemberId peer);
+    void tellTaken(uint32_t index);
+    void checkFeed(uint32_t index, Actions &out);
+    void checkCopy(FeedCopyEntry &entry, Actions &out);
+    bool isGone(MemberId member) const;
+    MemberId chooseCopyHolder(uint64_t flow) const;
+    void sweep(Actions &out);
+    void sendReplacements(Actions &out);
+    void sendMoves(Actions &out);
+    bool addToBatch(const FeedKey &key, MoveBatch &batch);
+    void sendCopies(Actions &out);
+    void sendTaken(Actions &out);
+    void removeOldCopies();
+
+    // time
+    void runFeed(uint32_t index, Actions &out);
+    void schedule(uint32_t index);
+    void closeFeed(uint32_t index, bool deregister, Actions &out);
+    void endRegistrations(uint32_t index, bool deregister, Actions &out);
+    void removeFeed(uint32_t index);
+
+    FeedContext &context;
+    FeedStore store;
+    FeedCopies copies;
+    std::unordered_map<uint32_t, OutgoingMove> moves;              // feeds that another member owns by now
+    std::unordered_map<uint32_t, std::vector<MemberId>> takeovers; // who waits for FeedTaken of a feed
+    std::map<TakenGroup, std::vector<FeedCaller>> taken;           // FeedTaken of the next tick
+    std::unordered_map<TargetId, TimePoint> leavingTargets;        // targets that leave or failed, and when a keeper said so
+    std::unordered_map<Endpoint, TimePoint> unreachable;           // targets whose host refused a packet
+    std::deque<FeedKey> outgoing;                                  // feeds and copies to be moved
+    std::deque<Resend> resend;                                     // the same, sent and not confirmed
+    std::deque<uint32_t> replacements;                             // feeds whose target is to be replaced
+    std::deque<FeedKey> copyQueue;                                 // feeds whose copy is to be sent
+    size_t feedsToCheck = 0;
+    size_t copiesToCheck = 0;
+    size_t feedCursor = 0;
+};
+
+} // namespace hornbeam
--- a/src/peer/messages.h
+++ b/src/peer/messages.h
@@ -329,27 +329,45 @@
     }
 };
 
-/** Hands a feed to its new owner. Repeated until it is confirmed by FeedTaken. */
+/** One more feed in a message, equal to the first in all else. */
+struct FeedCaller
+{
+    Endpoint caller;
+    Bytes token;
+    uint32_t sequence = 0;
+
+    bool operator==(const FeedCaller &) const = default;
+    template<typename Visitor>
+    void visitFields(Visitor &visit)
+    {
+        visit(this->caller, this->token, this->sequence);
+    }
+};
+
+/** Hands feeds to their new owner. Repeated until each is confirmed by FeedTaken. */
 struct FeedMove
 {
     FeedState feed;
+    MemberId sender = 0; // who moves them: their owner, or the holder of their copies; 0 means the owner
+    std::vector<FeedCaller> others;
 
     template<typename Visitor>
     void visitFields(Visitor &visit)
     {
-        visit(this->feed);
+        visit(this->feed, this->sender, this->others);
     }
 };
 
-/** Asks the receiver to keep a copy of a feed. */
+/** Asks the receiver to keep a copy of feeds. */
 struct FeedCopy
 {
     FeedState feed;
+    std::vector<FeedCaller> others;
 
     template<typename Visitor>
     void visitFields(Visitor &visit)
     {
-        visit(this->feed);
+        visit(this->feed, this->others);
     }
 };
 
@@ -360,11 +378,12 @@
     Endpoint caller;
     Bytes token;
     MemberId owner = 0;
+    std::vector<FeedCaller> others; // further feeds of the service; their sequence is not used
 
     template<typename Visitor>
     void visitFields(Visitor &visit)
     {
-        visit(this->service, this->caller, this->token, this->owner);
+        visit(this->service, this->caller, this->token, this->owner, this->others);
     }
 };
 
--- /dev/null
+++ b/tests/feedfakes.h
@@ -0,0 +1,411 @@
+#pragma once
+
+// Fakes for the stories of feeds: a directory, a table, a keeper of places, targets that publish states, callers, and the wires between.
+
+#include "core/counters.h"
+#include "core/upstreamtoken.h"
+#include "feeds/feedengine.h"
+
+#include <algorithm>
+#include <functional>
+#include <map>
+#include <set>
+
+namespace hornbeam {
+
+constexpr ZoneId feedZone = 1;
+const ServiceId board = serviceIdOf("booking");
+
+/** The members' states as one member sees them. */
+class FakeDirectory final : public MemberDirectory
+{
+public:
+    MemberId own = 0;
+    std::map<MemberId, MemberState> states;
+    uint64_t version = 1;
+
+    MemberRecord self() const override
+    {
+        return MemberRecord{ own, feedZone, {}, 1, 0, MemberState::Alive };
+    }
+    std::optional<MemberRecord> find(MemberId member) const override
+    {
+        const auto found = states.find(member);
+        return found == states.end() ? std::nullopt : std::optional(MemberRecord{ member, feedZone, {}, 1, 0, found->second });
+    }
+    std::vector<MemberRecord> eligibleIn(ZoneId) const override
+    {
+        std::vector<MemberRecord> records;
+        for (const auto &[member, state] : states) {
+            if (state <= MemberState::Suspect) {
+                records.push_back(*find(member));
+            }
+        }
+        return records;
+    }
+    std::vector<ZoneId> reachableZones() const override
+    {
+        return { feedZone };
+    }
+    MemberId ownerIn(ZoneId zone, uint64_t key, size_t rank) const override
+    {
+        auto records = eligibleIn(zone);
+        std::sort(records.begin(), records.end(), [key](const auto &a, const auto &b) { return mixHash(key, a.id) > mixHash(key, b.id); });
+        return rank < records.size() ? records[rank].id : 0;
+    }
+    MemberId flowOwner(uint64_t flow) const override
+    {
+        return ownerIn(feedZone, flow, 0);
+    }
+    uint64_t viewVersion() const override
+    {
+        return version;
+    }
+};
+
+class FakeTables final : public TableSource
+{
+public:
+    std::shared_ptr<ServiceTable> table = std::make_shared<ServiceTable>();
+    uint64_t version = 1;
+
+    std::shared_ptr<const ServiceTable> find(ServiceId service) const override
+    {
+        return service == board ? table : nullptr;
+    }
+    std::vector<std::shared_ptr<const ServiceTable>> all() const override
+    {
+        return { table };
+    }
+    uint64_t changes() const override
+    {
+        return version;
+    }
+};
+
+/** Grants a place at the first usable target on the next step. */
+class FakePlaces final : public PlaceClient
+{
+public:
+    std::vector<PlaceWant> wants;
+    std::map<uint64_t, TargetId> held;
+    Reason refusal = Reason::None;
+
+    void beginPlace(const PlaceWant &want, Actions &) override
+    {
+        wants.push_back(want);
+    }
+    void endPlace(uint64_t request, SlotOutcome, Duration, Actions &) override
+    {
+        held.erase(request);
+        std::erase_if(wants, [request](const auto &want) { return want.request == request; });
+    }
+    void settle(PlaceListener &listener, const ServiceTable &table, const std::set<TargetId> &unfit, Actions &out)
+    {
+        for (const PlaceWant &want : std::exchange(wants, {})) {
+            const auto row = std::find_if(table.rows.begin(), table.rows.end(), [&](const TargetRow &each) {
+                return each.state == RowState::Active && each.id != want.avoid && !unfit.contains(each.id);
+            });
+            if (refusal != Reason::None || row == table.rows.end()) {
+                listener.placeRefused(want.request, refusal == Reason::None ? Reason::NoTarget : refusal, {}, out);
+                continue;
+            }
+            held[want.request] = row->id;
+            listener.placeGranted(Place{ want.request, want.service, feedZone, row->id, row->endpoint }, out);
+        }
+    }
+};
+
+/** A target: knows its observers by source instance and token, and publishes numbered states to them. */
+struct FakeTarget
+{
+    struct Observer
+    {
+        MemberId instance = 0;
+        Bytes token;
+        auto operator<=>(const Observer &) const = default;
+    };
+    std::set<Observer> observers;
+    uint32_t sequence = 1;
+    bool silent = false;
+    uint16_t messageId = 0;
+};
+
+struct FeedNode
+{
+    FeedNode(MemberId id, const FeedSettings &settings, FakeTables &tables, const Clock &clock) : id(id)
+    {
+        directory.own = id;
+        directory.states[id] = MemberState::Alive;
+        engine = std::make_unique<FeedEngine>(settings, directory, tables, places, clock, counters);
+    }
+    MemberId id;
+    bool alive = true;
+    FakeDirectory directory;
+    FakePlaces places;
+    Counters counters;
+    std::unique_ptr<FeedEngine> engine;
+};
+
+/** What a caller that applies RFC 7641, 3.4 holds. */
+struct FakeCaller
+{
+    Endpoint endpoint;
+    Bytes token{ 7, 7 };
+    std::string state;
+    uint32_t sequence = 0;
+    uint64_t takenAtMs = 0;
+    bool hasState = false;
+    bool rising = true; // every packet it got was newer than the one before
+    bool answersConfirmable = true;
+    std::set<std::string> seen;
+    CoapMessage last;
+    uint16_t messageId = 100;
+};
+
+/** The members, targets and callers, and the packets between them; each step delivers everything that is under way. */
+class FeedWorld
+{
+public:
+    ManualClock clock;
+    FeedSettings settings;
+    FakeTables tables;
+    std::map<MemberId, std::unique_ptr<FeedNode>> nodes;
+    std::map<Endpoint, FakeTarget> targets;
+    std::set<TargetId> unfit;
+    FakeCaller caller;
+    std::string state = "0";
+    std::function<bool()> loseToCaller = [] { return false; };
+    std::function<bool()> loseFromTarget = [] { return false; };
+    size_t moveMessages = 0;
+
+    explicit FeedWorld(std::vector<MemberId> members)
+    {
+        caller.endpoint = Endpoint{ 0x0A000001, 5000 };
+        tables.table->name = "booking";
+        tables.table->id = board;
+        for (uint16_t i = 1; i <= 3; ++i) {
+            TargetRow row;
+            row.name = "t" + std::to_string(i);
+            row.id = i;
+            row.zone = feedZone;
+            row.endpoint = Endpoint{ 0x0B000000U + i, 5683 };
+            tables.table->rows.push_back(row);
+            targets[row.endpoint];
+        }
+        for (const MemberId member : members) {
+            join(member);
+        }
+    }
+    void join(MemberId member)
+    {
+        nodes[member] = std::make_unique<FeedNode>(member, settings, tables, clock);
+        for (const auto &[id, node] : nodes) {
+            nodes[member]->directory.states[id] = node->alive ? MemberState::Alive : MemberState::Dead;
+        }
+        tell(member, MemberState::Alive);
+    }
+    void tell(MemberId member, MemberState state)
+    {
+        for (auto &[id, node] : nodes) {
+            node->directory.states[member] = state;
+            ++node->directory.version;
+        }
+    }
+    /** The member stops without a word; the others learn of it later, by tell(). */
+    void kill(MemberId member)
+    {
+        nodes[member]->alive = false;
+    }
+    FeedNode &node(MemberId member)
+    {
+        return *nodes[member];
+    }
+    MemberId ownerByView() const
+    {
+        return nodes.begin()->second->directory.flowOwner(flowKey(board, caller.endpoint));
+    }
+    /** The live members that hold the caller's feed. */
+    std::vector<MemberId> holders() const
+    {
+        std::vector<MemberId> found;
+        for (const auto &[id, node] : nodes) {
+            if (node->alive && node->engine->open() > 0) {
+                found.push_back(id);
+            }
+        }
+        return found;
+    }
+    MemberId otherThan(MemberId member) const
+    {
+        return std::find_if(nodes.begin(), nodes.end(), [member](const auto &each) { return each.first != member && each.second->alive; })->first;
+    }
+    TargetRow &rowAt(const Endpoint &endpoint)
+    {
+        return *std::find_if(tables.table->rows.begin(), tables.table->rows.end(), [&](const auto &row) { return row.endpoint == endpoint; });
+    }
+    /** The targets that have an observer. */
+    std::vector<Endpoint> observed() const
+    {
+        std::vector<Endpoint> found;
+        for (const auto &[endpoint, target] : targets) {
+            if (!target.observers.empty()) {
+                found.push_back(endpoint);
+            }
+        }
+        return found;
+    }
+
+    //--- Callers
+
+    void get(MemberId entry, uint32_t observe, CoapType type = CoapType::Confirmable)
+    {
+        const std::vector<CoapOption> options{ { optionObserve, optionValue(observe) }, { optionUriPath, optionValue("slots") } };
+        enter(entry, buildCoap(type, CoapCode::Get, ++caller.messageId, caller.token, options, ""));
+    }
+    void sendEmpty(MemberId entry, CoapType type, uint16_t messageId)
+    {
+        enter(entry, buildCoap(type, CoapCode::Empty, messageId, {}, {}, ""));
+    }
+    void enter(MemberId entry, Bytes packet)
+    {
+        Actions out;
+        const auto message = parseCoap(packet);
+        nodes[entry]->engine->onCallerPacket(Relay{ board, caller.endpoint, entry, 0, std::move(packet) }, *message, out);
+        carry(entry, out);
+    }
+
+    //--- Targets
+
+    void publish(const std::string &newState)
+    {
+        state = newState;
+        for (auto &[endpoint, target] : targets) {
+            ++target.sequence;
+            for (const auto &observer : std::set(target.observers)) {
+                if (!target.silent && !loseFromTarget()) {
+                    notifyFrom(endpoint, observer, target.sequence, state);
+                }
+            }
+        }
+    }
+    void notifyFrom(const Endpoint &endpoint, const FakeTarget::Observer &observer, uint32_t sequence, const std::string &text)
+    {
+        const uint16_t id = ++targets[endpoint].messageId;
+        fromTarget(endpoint, observer.instance,
+                   buildCoap(CoapType::NonConfirmable, CoapCode::Content, id, observer.token, { { optionObserve, optionValue(sequence) } }, text));
+    }
+    void fromTarget(const Endpoint &endpoint, MemberId instance, const Bytes &packet)
+    {
+        const auto message = parseCoap(packet);
+        Actions out;
+        if (nodes[instance]->alive) {
+            nodes[instance]->engine->onTargetPacket(endpoint, packet.data(), packet.size(), *message, out);
+        }
+        carry(instance, out);
+    }
+
+    //--- Time
+
+    void run(Duration time)
+    {
+        for (Duration step{}; step < time; step += milliseconds(50)) {
+            clock.advance(milliseconds(50));
+            for (auto &[id, node] : nodes) {
+                Actions out;
+                if (node->alive) {
+                    node->engine->tick(out);
+                }
+                carry(id, out);
+            }
+        }
+    }
+
+private:
+    void carry(MemberId from, Actions &out)
+    {
+        FeedNode &sender = *nodes[from];
+        sender.places.settle(*sender.engine, *tables.table, unfit, out);
+        for (const PacketOut &packet : out.toCallers) {
+            if (!loseToCaller()) {
+                receive(from, packet);
+            }
+        }
+        for (const PacketOut &packet : out.toTargets) {
+            answer(from, packet);
+        }
+        for (const MessageOut &message : out.toPeers) {
+            deliver(message);
+        }
+    }
+    void deliver(const MessageOut &sent)
+    {
+        const auto found = nodes.find(sent.peer);
+        if (found == nodes.end() || !found->second->alive) {
+            return;
+        }
+        Actions out;
+        FeedEngine &engine = *found->second->engine;
+        if (const auto *relay = std::get_if<Relay>(&sent.message)) {
+            engine.onCallerPacket(*relay, *parseCoap(relay->packet), out);
+        } else if (const auto *move = std::get_if<FeedMove>(&sent.message)) {
+            ++moveMessages;
+            engine.onMessage(*move, out);
+        } else if (const auto *copy = std::get_if<FeedCopy>(&sent.message)) {
+            engine.onMessage(*copy, out);
+        } else if (const auto *taken = std::get_if<FeedTaken>(&sent.message)) {
+            engine.onMessage(*taken, out);
+        } else if (const auto *drop = std::get_if<FeedDrop>(&sent.message)) {
+            engine.onMessage(*drop, out);
+        }
+        carry(sent.peer, out);
+    }
+    void answer(MemberId from, const PacketOut &sent)
+    {
+        FakeTarget &target = targets[sent.endpoint];
+        const auto message = parseCoap(sent.packet);
+        if (target.silent) {
+            return;
+        }
+        if (message->type == CoapType::Reset) {
+            return;
+        }
+        if (message->code == 0) {
+            return;
+        }
+        const FakeTarget::Observer observer{ from, message->token };
+        std::vector<CoapOption> options;
+        if (message->observe == 0U) {
+            target.observers.insert(observer);
+            options.push_back({ optionObserve, optionValue(target.sequence) });
+        } else {
+            target.observers.erase(observer);
+        }
+        fromTarget(sent.endpoint, from, buildCoap(CoapType::Acknowledgement, CoapCode::Content, message->messageId, message->token, options, state));
+    }
+    void receive(MemberId from, const PacketOut &sent)
+    {
+        const auto message = parseCoap(sent.packet);
+        caller.last = *message;
+        const std::string text(sent.packet.begin(), sent.packet.end());
+        const std::string payload = text.substr(text.rfind('\xFF') + 1);
+        if (message->observe) {
+            const bool fresh = !caller.hasState || isFresher(*message->observe, clock.wallMillis(), caller.sequence, caller.takenAtMs);
+            caller.rising = caller.rising && fresh;
+            if (fresh) {
+                caller.state = payload;
+                caller.sequence = *message->observe;
+                caller.takenAtMs = clock.wallMillis();
+                caller.hasState = true;
+                caller.seen.insert(payload);
+            }
+        } else {
+            caller.state = payload;
+        }
+        if (message->type == CoapType::Confirmable && caller.answersConfirmable) {
+            sendEmpty(from, CoapType::Acknowledgement, message->messageId);
+        }
+    }
+};
+
+} // namespace hornbeam
