Settings of hornbeamd, checked whole before anything starts

Keys come from one or two files, so that a new one can be rolled in, and no fault shows a byte of them.

--- /dev/null
+++ b/src/apps/settings.h
@@ -0,0 +1,69 @@
+#pragma once
+
+// The settings of hornbeamd: a JSON file, checked whole before anything starts.
+
+#include "core/jsonfields.h"
+#include "core/types.h"
+
+#include <iosfwd>
+#include <optional>
+
+namespace hornbeam {
+
+/** A member to join through when the platform is out. */
+struct PeerSeed
+{
+    std::string name;
+    std::string zone;
+    Endpoint peer; // of its peer protocol
+
+    bool operator==(const PeerSeed &) const = default;
+};
+
+struct DaemonSettings
+{
+    std::string name;                  // of this instance, unique in the system
+    std::string zone;                  // its availability zone
+    uint32_t address = 0x7F000001;     // IPv4, of the services' ports and of the peer protocol
+    uint16_t peerPort = 7946;          // UDP and TCP, 1 to 65535
+    uint16_t metricsPort = 9464;       // TCP, HTTP with the counters, 1 to 65535, not the peer port
+    Endpoint platform;                 // of the platform's object API
+    std::vector<std::string> keyFiles; // 1 or 2; the first signs, both verify
+    uint32_t workers = 2;              // threads, 1 to 256
+    uint32_t drainSeconds = 30;        // at most, from SIGTERM to the exit, 1 to 3600
+    std::vector<PeerSeed> seeds;       // may be empty
+};
+
+/** Either settings, or all faults that were found. */
+struct CheckedSettings
+{
+    std::optional<DaemonSettings> settings;
+    std::vector<Fault> faults;
+};
+
+/** Either the keys in the order of their files, or all faults; no fault shows a byte of a key. */
+struct LoadedKeys
+{
+    std::vector<Bytes> keys;
+    std::vector<Fault> faults;
+};
+
+constexpr size_t minKeyBytes = 16;
+
+/** Checks the text of a settings file. Thread safe. */
+CheckedSettings parseSettings(std::string_view text);
+/** Reads and checks a settings file. Thread safe. */
+CheckedSettings loadSettings(const std::string &path);
+/** Reads the key files: hexadecimal digits, or any bytes, of at least minKeyBytes. Thread safe. */
+LoadedKeys loadKeys(const std::vector<std::string> &files);
+/** Settings as JSON text, which parseSettings reads as the same. Thread safe. */
+std::string writeSettings(const DaemonSettings &settings);
+/** The settings to start from: every default, and examples where there is none. Thread safe. */
+DaemonSettings exampleSettings();
+
+/** Does the work of `hornbeamd --check-settings FILE`: prints all faults, of the key files too. Returns the exit code, 0 or 2. */
+int checkSettings(const std::string &path, std::ostream &out);
+/** Does the work of `hornbeamd --print-defaults`. Returns the exit code, 0. */
+int printDefaults(std::ostream &out);
+
+} // namespace hornbeam
--- a/src/core/jsonfields.cpp
+++ b/src/core/jsonfields.cpp
@@ -156,6 +156,11 @@
     this->faults.push_back({ this->pathOf(key), found == this->fields.end() ? "missing" : shortText(*found), allowed });
 }
 
+size_t JsonFields::faultCount() const
+{
+    return this->faults.size();
+}
+
 void JsonFields::finish()
 {
     std::string allowed;
--- a/src/core/jsonfields.h
+++ b/src/core/jsonfields.h
@@ -55,6 +55,8 @@
     const nlohmann::json *object(const std::string &key);
     /** Reports a fault at a key of this object. */
     void fault(const std::string &key, const std::string &allowed);
+    /** The number of faults reported so far, of the whole document. */
+    size_t faultCount() const;
     /** Reports every key that no read asked for. */
     void finish();
     /** The path of a key of this object. */
--- /dev/null
+++ b/tests/settings_test.cpp
@@ -0,0 +1,144 @@
+#include "apps/settings.h"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <cstdio>
+#include <fstream>
+#include <nlohmann/json.hpp>
+#include <sstream>
+#include <unistd.h>
+
+using namespace hornbeam;
+
+namespace {
+/** A file that is removed with the object. */
+struct TemporaryFile
+{
+    explicit TemporaryFile(const std::string &content) : path("/tmp/hornbeam_settings_" + std::to_string(::getpid()) + "_" + std::to_string(++count))
+    {
+        std::ofstream(this->path, std::ios::binary) << content;
+    }
+    ~TemporaryFile()
+    {
+        std::remove(this->path.c_str());
+    }
+    static inline int count = 0;
+    std::string path;
+};
+}
+
+TEST_CASE("settings are checked whole")
+{
+    const std::string good = writeSettings(exampleSettings());
+
+    SECTION("the defaults that are printed are in order")
+    {
+        std::ostringstream out;
+        CHECK(printDefaults(out) == 0);
+        const CheckedSettings checked = parseSettings(out.str());
+        REQUIRE(checked.faults.empty());
+        CHECK(writeSettings(*checked.settings) == good);
+    }
+    SECTION("each fault is told with its path, value and what is allowed")
+    {
+        struct Row
+        {
+            const char *patch; // merged into settings in order
+            const char *path;
+            const char *value;
+            const char *allowed; // a part of the text
+        };
+        const Row rows[] = {
+            { R"({"name":""})", "name", "\"\"", "letters" },
+            { R"({"name":null})", "name", "missing", "a name" },
+            { R"({"name":"a b"})", "name", "\"a b\"", "letters" },
+            { R"({"zone":null})", "zone", "missing", "a name" },
+            { R"({"zone":7})", "zone", "7", "letters" },
+            { R"({"address":"localhost"})", "address", "\"localhost\"", "IPv4" },
+            { R"({"address":"0.0.0.0"})", "address", "\"0.0.0.0\"", "IPv4" },
+            { R"({"peer_port":0})", "peer_port", "0", "1 to 65535" },
+            { R"({"peer_port":70000})", "peer_port", "70000", "1 to 65535" },
+            { R"({"peer_port":"7946"})", "peer_port", "\"7946\"", "1 to 65535" },
+            { R"({"metrics_port":7946})", "metrics_port", "7946", "another port" },
+            { R"({"metrics_port":-1})", "metrics_port", "-1", "1 to 65535" },
+            { R"({"platform":null})", "platform", "missing", "a.b.c.d:port" },
+            { R"({"platform":"127.0.0.1:0"})", "platform", "\"127.0.0.1:0\"", "a.b.c.d:port" },
+            { R"({"platform":""})", "platform", "\"\"", "a.b.c.d:port" },
+            { R"({"platform":5})", "platform", "5", "a string" },
+            { R"({"key_files":null})", "key_files", "missing", "1 or 2" },
+            { R"({"key_files":[]})", "key_files", "[]", "1 or 2" },
+            { R"({"key_files":["a","b","c"]})", "key_files", R"(["a","b","c"])", "1 or 2" },
+            { R"({"key_files":"a"})", "key_files", "\"a\"", "a list" },
+            { R"({"workers":0})", "workers", "0", "1 to 256" },
+            { R"({"workers":1.5})", "workers", "1.5", "1 to 256" },
+            { R"({"drain_seconds":3601})", "drain_seconds", "3601", "1 to 3600" },
+            { R"({"seeds":{}})", "seeds", "{}", "a list" },
+            { R"({"seeds":[3]})", "seeds[0]", "3", "name, zone and peer" },
+            { R"({"seeds":[{"name":"a","zone":"z","peer":"x"}]})", "seeds[0].peer", "\"x\"", "a.b.c.d:port" },
+            { R"({"seeds":[{"name":"a","peer":"127.0.0.1:1"}]})", "seeds[0].zone", "missing", "a name" },
+            { R"({"seeds":[{"name":"a","zone":"z","peer":"127.0.0.1:1","port":1}]})", "seeds[0].port", "1", "name, zone, peer" },
+            { R"({"worker":3})", "worker", "3", "workers" },
+        };
+        for (const Row &row : rows) {
+            CAPTURE(row.patch);
+            nlohmann::json object = nlohmann::json::parse(good);
+            object.merge_patch(nlohmann::json::parse(row.patch));
+            const CheckedSettings checked = parseSettings(object.dump());
+            CHECK_FALSE(checked.settings.has_value());
+            REQUIRE(checked.faults.size() == 1);
+            CHECK(checked.faults[0].path == row.path);
+            CHECK(checked.faults[0].value == row.value);
+            CHECK(checked.faults[0].allowed.find(row.allowed) != std::string::npos);
+        }
+    }
+    SECTION("all faults come at once")
+    {
+        CHECK(parseSettings("{}").faults.size() == 4); // name, zone, platform, key_files
+        CHECK(parseSettings(R"({"workers":0,"x":1})").faults.size() == 6);
+    }
+    SECTION("text that is no object")
+    {
+        for (const char *text : { "", "[]", "{", "3" }) {
+            CHECK(parseSettings(text).faults.size() == 1);
+        }
+        CHECK(loadSettings("/nowhere/settings.json").faults.size() == 1);
+    }
+}
+
+TEST_CASE("keys are read from files and never shown")
+{
+    const TemporaryFile hex("000102030405060708090a0b0c0d0e0F\n");
+    const TemporaryFile raw("sixteen bytes or more of anything");
+    const TemporaryFile shortHex("secret-less"
+                                 "abc");
+    const LoadedKeys loaded = loadKeys({ hex.path, raw.path });
+    REQUIRE(loaded.faults.empty());
+    REQUIRE(loaded.keys.size() == 2);
+    CHECK(loaded.keys[0].size() == 16);
+    CHECK(loaded.keys[0][15] == 0x0F);
+    CHECK(loaded.keys[1].size() == 33);
+
+    SECTION("a short key and a missing file are faults")
+    {
+        const LoadedKeys faulty = loadKeys({ shortHex.path, "/nowhere/key" });
+        REQUIRE(faulty.faults.size() == 2);
+        CHECK(faulty.faults[0].path == "key_files[0]");
+        CHECK(faulty.faults[1].path == "key_files[1]");
+        for (const Fault &fault : faulty.faults) {
+            CHECK(toString(fault).find("secret") == std::string::npos);
+        }
+    }
+    SECTION("the check of a settings file covers its keys")
+    {
+        DaemonSettings settings = exampleSettings();
+        settings.keyFiles = { raw.path };
+        const TemporaryFile inOrder(writeSettings(settings));
+        settings.keyFiles = { shortHex.path };
+        const TemporaryFile faulty(writeSettings(settings));
+        std::ostringstream out;
+        CHECK(checkSettings(inOrder.path, out) == 0);
+        CHECK(checkSettings(faulty.path, out) == 2);
+        CHECK(out.str().find("key_files[0]") != std::string::npos);
+        CHECK(out.str().find("secret") == std::string::npos);
+    }
+}
