Requests: from a caller's packet to the answer, POST at most once

Purpose: the request engine with Echo identity, outcome records bounded in bytes, retry budget, drain and handover. - A number is recorded before it is sent, and a refusal as not run is recorded too, so that it never runs later. When there is no room even for that record, all unknown numbers made so far are refused (one number for each shard), which needs no memory. - Attempt numbers start from the incarnation, so a late answer for an earlier process at the same address matches nothing. - An idempotent request whose earlier attempt was lost is never refused as not run; PUT and DELETE refusals do not claim it at all, since a copy of the packet may have reached another instance. - Another request under a used Echo value gets a value of its own: a hash of the request stands in the record.

--- a/src/core/coap.cpp
+++ b/src/core/coap.cpp
@@ -58,6 +58,30 @@
     return message;
 }
 
+uint64_t requestHash(const uint8_t *data, size_t size)
+{
+    const PduOwner pdu(coap_pdu_init(COAP_MESSAGE_CON, COAP_EMPTY_CODE, 0, size), &coap_delete_pdu);
+    if (!pdu || coap_pdu_parse(COAP_PROTO_UDP, data, size, pdu.get()) == 0) {
+        return 0;
+    }
+    uint64_t hash = static_cast<uint64_t>(coap_pdu_get_code(pdu.get()));
+    coap_opt_iterator_t iterator;
+    coap_option_iterator_init(pdu.get(), &iterator, COAP_OPT_ALL);
+    while (const coap_opt_t *option = coap_option_next(&iterator)) {
+        if (iterator.number == optionEcho || iterator.number == optionDeadline) {
+            continue;
+        }
+        const std::string_view value(reinterpret_cast<const char *>(coap_opt_value(option)), coap_opt_length(option));
+        hash = mixHash(hash, mixHash(iterator.number, hashName(value)));
+    }
+    size_t payloadBytes = 0;
+    const uint8_t *payload = nullptr;
+    if (coap_get_data(pdu.get(), &payloadBytes, &payload) != 0) {
+        hash = mixHash(hash, hashName({ reinterpret_cast<const char *>(payload), payloadBytes }));
+    }
+    return hash;
+}
+
 //--- Writing
 
 Bytes withHead(CoapType type, uint8_t code, uint16_t messageId, const Bytes &token, const uint8_t *tail, size_t tailBytes)
--- a/src/core/coap.h
+++ b/src/core/coap.h
@@ -84,6 +84,12 @@
     return parseCoap(packet.data(), packet.size());
 }
 
+/**
+ * Hash of a message's code, options and payload, without the options that may differ between repeats of one request (Echo, deadline).
+ * Precondition: the bytes passed parseCoap. Thread safe.
+ */
+uint64_t requestHash(const uint8_t *data, size_t size);
+
 //--- Writing
 
 /** Puts a new head and token before the untouched tail (options and payload). Precondition: at most maxTokenBytes of token. Thread safe. */
--- a/src/core/counters.h
+++ b/src/core/counters.h
@@ -44,6 +44,7 @@
     TableRowsRejected,    // table objects refused because of a bad row
     PlatformCalls,        // calls made to the platform's object API
     PlatformErrors,       // calls that failed
+    AnswersUnmatched,     // packets from targets that belong to no exchange, or come from another target than the one asked
     Count,
 };
 
--- a/src/peer/messages.h
+++ b/src/peer/messages.h
@@ -285,12 +285,13 @@
     Endpoint caller;
     Verdict verdict = Verdict::MayHaveRun;
     Reason reason = Reason::None;
-    Bytes answer; // code, options and payload of the answer; empty when there was none
+    Bytes answer;             // code, options and payload of the answer; empty when there was none
+    uint64_t requestHash = 0; // tells a repeat from another request that carries the same Echo value
 
     template<typename Visitor>
     void visitFields(Visitor &visit)
     {
-        visit(this->number, this->caller, this->verdict, this->reason, this->answer);
+        visit(this->number, this->caller, this->verdict, this->reason, this->answer, this->requestHash);
     }
 };
 
--- /dev/null
+++ b/src/requests/answers.cpp
@@ -0,0 +1,60 @@
+#include "requests/answers.h"
+
+#include <algorithm>
+#include <string>
+
+namespace hornbeam {
+
+namespace {
+
+constexpr size_t bareHeadBytes = 4; // a message that a balancer builds here has no token
+
+AnswerContent buildContent(CoapCode code, const std::vector<CoapOption> &options, std::string_view payload)
+{
+    const Bytes packet = buildCoap(CoapType::Acknowledgement, code, 0, {}, options, payload);
+    // the last byte of the head makes room for the code
+    AnswerContent content(packet.begin() + bareHeadBytes - 1, packet.end());
+    content.front() = static_cast<uint8_t>(code);
+    return content;
+}
+
+uint32_t wholeSeconds(Duration duration)
+{
+    const auto rounded = std::chrono::ceil<seconds>(duration).count();
+    return static_cast<uint32_t>(std::max<int64_t>(1, rounded));
+}
+
+} // namespace
+
+AnswerContent contentOf(const CoapMessage &message, const uint8_t *data, size_t size)
+{
+    AnswerContent content;
+    content.reserve(1 + size - message.tailOffset);
+    content.push_back(message.code);
+    content.insert(content.end(), data + message.tailOffset, data + size);
+    return content;
+}
+
+AnswerContent refusalContent(Verdict verdict, Reason reason, Duration retryAfter)
+{
+    const std::string text = std::string(nameOf(verdict)) + ": " + std::string(nameOf(reason));
+    if (verdictOf(reason) == Verdict::NotRun) {
+        return buildContent(CoapCode::ServiceUnavailable, { { optionMaxAge, optionValue(wholeSeconds(retryAfter)) } }, text);
+    }
+    return buildContent(CoapCode::GatewayTimeout, {}, text);
+}
+
+AnswerContent challengeContent(const Bytes &echo)
+{
+    return buildContent(CoapCode::Unauthorized, { { optionEcho, echo } }, "");
+}
+
+void sendAnswer(const CallerExchange &exchange, const AnswerContent &content, uint16_t messageId, Actions &out)
+{
+    const bool piggybacked = exchange.type == CoapType::Confirmable;
+    const CoapType type = piggybacked ? CoapType::Acknowledgement : CoapType::NonConfirmable;
+    const uint16_t answerId = piggybacked ? exchange.messageId : messageId;
+    out.sendToCaller(exchange.service, exchange.caller, withHead(type, content.front(), answerId, exchange.token, content.data() + 1, content.size() - 1));
+}
+
+} // namespace hornbeam
--- /dev/null
+++ b/src/requests/echo.cpp
@@ -0,0 +1,115 @@
+#include "requests/echo.h"
+
+#include <algorithm>
+#include <array>
+
+namespace hornbeam {
+
+namespace {
+
+constexpr unsigned serialBits = 20; // numbers of one millisecond
+constexpr size_t wordBytes = sizeof(uint64_t);
+
+void appendWord(Bytes &out, uint64_t word)
+{
+    for (size_t i = 0; i < wordBytes; ++i) {
+        out.push_back(static_cast<uint8_t>(word >> (8 * (wordBytes - 1 - i))));
+    }
+}
+
+uint64_t readWord(const Bytes &bytes, size_t index)
+{
+    uint64_t word = 0;
+    for (size_t i = 0; i < wordBytes; ++i) {
+        word = (word << 8U) | bytes[index * wordBytes + i];
+    }
+    return word;
+}
+
+Bytes signedPart(const EchoValue &value, ServiceId service, const Endpoint &caller)
+{
+    Bytes text;
+    text.reserve(5 * wordBytes);
+    appendWord(text, value.maker);
+    appendWord(text, value.incarnation);
+    appendWord(text, value.number);
+    appendWord(text, caller.key());
+    appendWord(text, service);
+    return text;
+}
+
+} // namespace
+
+Bytes encodeEcho(const EchoValue &value)
+{
+    Bytes bytes;
+    bytes.reserve(echoBytes);
+    appendWord(bytes, value.maker);
+    appendWord(bytes, value.incarnation);
+    appendWord(bytes, value.number);
+    appendWord(bytes, value.signature);
+    return bytes;
+}
+
+std::optional<EchoValue> decodeEcho(const Bytes &bytes)
+{
+    if (bytes.size() != echoBytes) {
+        return std::nullopt;
+    }
+    EchoValue value;
+    value.maker = readWord(bytes, 0);
+    value.incarnation = readWord(bytes, 1);
+    value.number = readWord(bytes, 2);
+    value.signature = readWord(bytes, 3);
+    return value;
+}
+
+EchoMaker::EchoMaker(MemberId maker, Incarnation incarnation, const Clock &clock, const KeyRing &keys)
+    : maker(maker), incarnation(incarnation), clock(clock), keys(keys), started(clock.now())
+{
+}
+
+uint64_t EchoMaker::startOf(TimePoint now) const
+{
+    const auto elapsed = std::chrono::duration_cast<milliseconds>(now - this->started).count();
+    return static_cast<uint64_t>(elapsed) << serialBits;
+}
+
+EchoValue EchoMaker::make(ServiceId service, const Endpoint &caller)
+{
+    EchoValue value;
+    value.maker = this->maker;
+    value.incarnation = this->incarnation;
+    const uint64_t floor = this->startOf(this->clock.now());
+    uint64_t last = this->newest.load();
+    do {
+        value.number = std::max(last + 1, floor);
+    } while (!this->newest.compare_exchange_weak(last, value.number));
+    const Bytes text = signedPart(value, service, caller);
+    value.signature = this->keys.sign(text.data(), text.size());
+    return value;
+}
+
+bool EchoMaker::verify(const EchoValue &value, ServiceId service, const Endpoint &caller) const
+{
+    const Bytes text = signedPart(value, service, caller);
+    return this->keys.verify(text.data(), text.size(), value.signature);
+}
+
+bool EchoMaker::isOwn(const EchoValue &value) const
+{
+    return value.maker == this->maker && value.incarnation == this->incarnation;
+}
+
+Duration EchoMaker::age(const EchoValue &value) const
+{
+    const Duration madeAt = milliseconds(value.number >> serialBits);
+    return (this->clock.now() - this->started) - madeAt;
+}
+
+uint64_t EchoMaker::newestNumber() const
+{
+    return this->newest.load();
+}
+
+} // namespace hornbeam
--- /dev/null
+++ b/src/requests/posts.cpp
@@ -0,0 +1,203 @@
+// Non-idempotent requests: who may run one, and what a repeat is answered.
+
+#include "requests/requestengine.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace hornbeam {
+
+void RequestEngine::onPost(const Relay &origin, const CoapMessage &message, Actions &out)
+{
+    const auto value = decodeEcho(message.echo);
+    if (!value.has_value()) {
+        // no value or one of another length: it never named a request of this system
+        this->challenge(origin, message, out);
+        return;
+    }
+    const CallerExchange exchange = this->exchangeOf(origin, message);
+    if (!this->echoMaker.verify(*value, origin.service, origin.caller)) {
+        this->refuseUnstarted(exchange, Verdict::MayHaveRun, Reason::ForeignEcho, out);
+        return;
+    }
+    if (this->echoMaker.isOwn(*value)) {
+        this->onOwnPost(origin, message, *value, out);
+    } else {
+        this->onForeignPost(origin, message, *value, out);
+    }
+}
+
+void RequestEngine::challenge(const Relay &origin, const CoapMessage &message, Actions &out)
+{
+    const CallerExchange exchange = this->exchangeOf(origin, message);
+    if (this->isDraining.load()) {
+        this->relayFirst(origin, exchange, out);
+        return;
+    }
+    Reason fault = this->admissionFault(origin.service, message);
+    if (fault == Reason::None && !this->recordBudget.hasRoom(recordOverheadBytes + this->settings.answerReserveBytes)) {
+        fault = Reason::RecordsFull;
+    }
+    if (fault != Reason::None) {
+        this->refuseUnstarted(exchange, Verdict::NotRun, fault, out);
+        return;
+    }
+    const uint64_t hash = requestHash(origin.packet.data(), origin.packet.size());
+    const ChallengeKey key{ { origin.service, origin.caller, message.token }, message.messageId, hash };
+    Shard &shard = this->shardOfFlow(origin.service, origin.caller);
+    const std::lock_guard lock(shard.mutex);
+    const Bytes *known = shard.challenges.find(key);
+    if (known != nullptr && this->echoMaker.age(*decodeEcho(*known)) < this->settings.firstUseWindow) {
+        this->answer(exchange, challengeContent(*known), out);
+        return;
+    }
+    const Bytes echo = encodeEcho(this->echoMaker.make(origin.service, origin.caller));
+    shard.challenges.update(key, echo);
+    this->counters.add(Counter::EchoValuesMade);
+    this->answer(exchange, challengeContent(echo), out);
+}
+
+void RequestEngine::relayFirst(const Relay &origin, const CallerExchange &exchange, Actions &out)
+{
+    const ZoneId zone = this->directory.self().zone;
+    const uint64_t flow = flowKey(origin.service, origin.caller);
+    MemberId peer = this->directory.ownerIn(zone, flow, 0);
+    if (peer == 0) {
+        peer = this->directory.flowOwner(flow);
+    }
+    if (!this->relay(origin, peer, out)) {
+        this->refuseUnstarted(exchange, Verdict::NotRun, Reason::Draining, out);
+    }
+}
+
+void RequestEngine::onForeignPost(const Relay &origin, const CoapMessage &message, const EchoValue &value, Actions &out)
+{
+    const CallerExchange exchange = this->exchangeOf(origin, message);
+    const auto record = this->takenOver.find({ value.maker, value.incarnation, value.number });
+    if (record.has_value()) {
+        if (record->requestHash != requestHash(origin.packet.data(), origin.packet.size())) {
+            this->challenge(origin, message, out);
+            return;
+        }
+        this->counters.add(Counter::RepeatsAnswered);
+        this->answer(exchange, record->answer, out);
+        return;
+    }
+    Reason fault = Reason::None;
+    const MemberId peer = this->answererOf(value, fault);
+    if (fault == Reason::None && !this->relay(origin, peer, out)) {
+        fault = Reason::MakerUnreachable;
+    }
+    if (fault != Reason::None) {
+        this->refuseUnstarted(exchange, Verdict::MayHaveRun, fault, out);
+    }
+}
+
+MemberId RequestEngine::answererOf(const EchoValue &value, Reason &fault) const
+{
+    const auto maker = this->directory.find(value.maker);
+    if (!maker.has_value() || maker->incarnation != value.incarnation || maker->state == MemberState::Dead) {
+        fault = Reason::MakerGone;
+        return 0;
+    }
+    const std::vector<ZoneId> zones = this->directory.reachableZones();
+    if (std::find(zones.begin(), zones.end(), maker->zone) == zones.end()) {
+        fault = Reason::MakerUnreachable;
+        return 0;
+    }
+    if (maker->state != MemberState::Left) {
+        return maker->id;
+    }
+    const MemberId successor = this->directory.ownerIn(maker->zone, mixHash(value.maker, value.incarnation), 0);
+    if (successor == 0 || successor == this->selfId) {
+        fault = Reason::MakerGone;
+    }
+    return successor;
+}
+
+bool RequestEngine::relay(const Relay &origin, MemberId peer, Actions &out)
+{
+    if (peer == 0 || peer == this->selfId || origin.hops >= maxRelayHops) {
+        return false;
+    }
+    Relay next = origin;
+    ++next.hops;
+    if (next.entry == 0) {
+        next.entry = this->selfId;
+    }
+    this->counters.add(Counter::RelaysSent);
+    out.sendToPeer(peer, std::move(next));
+    return true;
+}
+
+void RequestEngine::onOwnPost(const Relay &origin, const CoapMessage &message, const EchoValue &value, Actions &out)
+{
+    const CallerExchange exchange = this->exchangeOf(origin, message);
+    const uint64_t hash = requestHash(origin.packet.data(), origin.packet.size());
+    Shard &shard = this->shardOfFlow(origin.service, origin.caller);
+    std::unique_lock lock(shard.mutex);
+    if (const Record *record = shard.records.find(value.number)) {
+        if (record->requestHash == hash) {
+            this->onKnownPost(shard, *record, exchange, out);
+            return;
+        }
+        // another request with a used value: it never ran under this number and gets one of its own
+        lock.unlock();
+        this->challenge(origin, message, out);
+        return;
+    }
+    Reason fault = this->firstUseFault(shard, value);
+    if (fault == Reason::None && shard.records.add(value.number, origin.caller, hash) == nullptr) {
+        // without a record of this refusal the number could run later, so all unknown numbers made so far are refused as well
+        shard.refusedUpTo = this->echoMaker.newestNumber();
+        fault = Reason::RecordsFull;
+    }
+    if (fault != Reason::None) {
+        this->refuseUnstarted(exchange, verdictOf(fault), fault, out);
+        return;
+    }
+    this->startPost(shard, exchange, origin, message, value.number, out);
+}
+
+void RequestEngine::onKnownPost(Shard &shard, const Record &record, const CallerExchange &exchange, Actions &out)
+{
+    if (!record.isDone) {
+        shard.requests.at(record.attempt).exchange = exchange;
+        return;
+    }
+    this->counters.add(Counter::RepeatsAnswered);
+    this->answer(exchange, record.answer, out);
+}
+
+Reason RequestEngine::firstUseFault(const Shard &shard, const EchoValue &value) const
+{
+    // records outlive the window, so an unknown number inside it has never run
+    if (this->echoMaker.age(value) > this->settings.firstUseWindow) {
+        return Reason::RecordExpired;
+    }
+    if (this->isHandedOver.load()) {
+        return Reason::Draining;
+    }
+    if (value.number <= shard.refusedUpTo) {
+        return Reason::RecordsFull;
+    }
+    return Reason::None;
+}
+
+void RequestEngine::startPost(Shard &shard, const CallerExchange &exchange, const Relay &origin, const CoapMessage &message, uint64_t number, Actions &out)
+{
+    const Reason fault = this->admissionFault(origin.service, message);
+    if (fault != Reason::None) {
+        // the record keeps the refusal, so that the number never runs
+        this->counters.refuse(fault);
+        AnswerContent content = refusalContent(Verdict::NotRun, fault, this->settings.retryAfter);
+        this->answer(exchange, content, out);
+        shard.records.finish(number, Verdict::NotRun, fault, std::move(content), this->clock.now());
+        return;
+    }
+    Request request = this->makeRequest(exchange, contentOf(message, origin.packet.data(), origin.packet.size()), message);
+    request.echoNumber = number;
+    this->beginRequest(shard, std::move(request), out);
+}
+
+} // namespace hornbeam
--- /dev/null
+++ b/src/requests/requestengine.cpp
@@ -0,0 +1,193 @@
+// Sections: arrival | deadlines
+
+#include "requests/requestengine.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace hornbeam {
+
+namespace {
+
+constexpr uint64_t startMask = (1ULL << 40U) - 1; // ms of a process start that go into attempt numbers
+constexpr unsigned attemptBits = 16;              // attempts for each ms that a process runs
+
+/** Attempt numbers start where those of an earlier process at the same address can't be, so that its late answers match nothing. */
+uint64_t firstAttemptOf(Incarnation incarnation, size_t shardCount)
+{
+    const uint64_t first = (incarnation & startMask) << attemptBits;
+    return first - first % shardCount;
+}
+
+} // namespace
+
+//--- Arrival
+
+RequestEngine::RequestEngine(const RequestSettings &settings, const MemberDirectory &directory, const TableSource &tables, PlaceClient &places,
+                             const Clock &clock, Counters &counters, const KeyRing &keys)
+    : settings(settings)
+    , directory(directory)
+    , tables(tables)
+    , places(places)
+    , clock(clock)
+    , counters(counters)
+    , selfId(directory.self().id)
+    , incarnation(directory.self().incarnation)
+    , firstAttempt(firstAttemptOf(this->incarnation, settings.shardCount))
+    , echoMaker(this->selfId, this->incarnation, clock, keys)
+    , recordBudget(settings.maxRecordBytes)
+    , takenOver(settings.maxTakenOverBytes, settings.recordLifetime)
+    , exchanges(this->incarnation)
+    , lastTick(clock.now())
+{
+    for (size_t i = 0; i < settings.shardCount; ++i) {
+        this->shards.push_back(std::make_unique<Shard>(i, this->recordBudget, settings));
+    }
+}
+
+Shard &RequestEngine::shardOfFlow(ServiceId service, const Endpoint &caller)
+{
+    return *this->shards[flowKey(service, caller) % this->shards.size()];
+}
+
+Shard &RequestEngine::shardOfAttempt(uint64_t attempt)
+{
+    return *this->shards[attempt % this->shards.size()];
+}
+
+CallerExchange RequestEngine::exchangeOf(const Relay &origin, const CoapMessage &message) const
+{
+    return { origin.service, origin.caller, message.type, message.messageId, message.token };
+}
+
+void RequestEngine::onCallerPacket(const Relay &origin, const CoapMessage &message, Actions &out)
+{
+    if (!message.isRequest()) {
+        return;
+    }
+    if (message.isIdempotent()) {
+        this->onIdempotent(origin, message, out);
+    } else {
+        this->onPost(origin, message, out);
+    }
+}
+
+void RequestEngine::onIdempotent(const Relay &origin, const CoapMessage &message, Actions &out)
+{
+    const CallerExchange exchange = this->exchangeOf(origin, message);
+    AnswerContent content = contentOf(message, origin.packet.data(), origin.packet.size());
+    const CallerKey key{ origin.service, origin.caller, message.token };
+    Shard &shard = this->shardOfFlow(origin.service, origin.caller);
+    const std::lock_guard lock(shard.mutex);
+    if (this->joinInProgress(shard, key, exchange, content, out)) {
+        return;
+    }
+    const Reason fault = this->admissionFault(origin.service, message);
+    if (fault != Reason::None) {
+        // a copy of the packet may have reached another instance and changed something there
+        const bool isSafe = message.code == static_cast<uint8_t>(CoapCode::Get);
+        this->refuseUnstarted(exchange, isSafe ? Verdict::NotRun : Verdict::MayHaveRun, fault, out);
+        return;
+    }
+    this->beginRequest(shard, this->makeRequest(exchange, std::move(content), message), out);
+}
+
+bool RequestEngine::joinInProgress(Shard &shard, const CallerKey &key, const CallerExchange &exchange, const AnswerContent &content, Actions &out)
+{
+    const auto known = shard.idempotentAttempts.find(key);
+    if (known == shard.idempotentAttempts.end()) {
+        return false;
+    }
+    const auto at = shard.requests.find(known->second);
+    if (at->second.content == content) {
+        at->second.exchange = exchange;
+        return true;
+    }
+    // the caller uses the token for another request, so it no longer waits for this one
+    this->counters.refuse(Reason::Cancelled);
+    this->endExchange(at, SlotOutcome::Cancelled, out);
+    shard.idempotentAttempts.erase(known);
+    shard.requests.erase(at);
+    --this->requestsInProgress;
+    return false;
+}
+
+Reason RequestEngine::admissionFault(ServiceId service, const CoapMessage &message) const
+{
+    if (this->tables.find(service) == nullptr) {
+        return Reason::NoTable;
+    }
+    if (message.deadlineMs == 0U) {
+        return Reason::DeadlinePassed;
+    }
+    if (this->requestsInProgress.load() >= this->settings.maxInProgress) {
+        return Reason::NoSlot;
+    }
+    return Reason::None;
+}
+
+Request RequestEngine::makeRequest(const CallerExchange &exchange, AnswerContent content, const CoapMessage &message) const
+{
+    Request request;
+    request.exchange = exchange;
+    request.content = std::move(content);
+    request.isIdempotent = message.isIdempotent();
+    Duration patience = this->settings.queuePatience + this->settings.answerPatience;
+    if (message.deadlineMs.has_value()) {
+        patience = std::min<Duration>(patience, milliseconds(*message.deadlineMs));
+    }
+    request.deadline = this->clock.now() + patience;
+    return request;
+}
+
+void RequestEngine::refuseUnstarted(const CallerExchange &exchange, Verdict verdict, Reason reason, Actions &out)
+{
+    this->counters.refuse(reason);
+    this->answer(exchange, refusalContent(verdict, reason, this->settings.retryAfter), out);
+}
+
+void RequestEngine::answer(const CallerExchange &exchange, const AnswerContent &content, Actions &out)
+{
+    sendAnswer(exchange, content, ++this->callerMessageId, out);
+}
+
+//--- Deadlines
+
+void RequestEngine::tick(Actions &out)
+{
+    const TimePoint now = this->clock.now();
+    const bool wasFrozen = now - this->lastTick > this->settings.freezeBound;
+    this->lastTick = now;
+    for (const auto &shard : this->shards) {
+        const std::lock_guard lock(shard->mutex);
+        this->endOverdue(*shard, wasFrozen, out);
+        for (const uint64_t attempt : shard->records.removeExpired(now)) {
+            shard->lateAttempts.erase(attempt);
+        }
+    }
+    this->takenOver.removeExpired(now);
+}
+
+void RequestEngine::endOverdue(Shard &shard, bool wasFrozen, Actions &out)
+{
+    const TimePoint now = this->clock.now();
+    std::vector<uint64_t> overdue;
+    for (const auto &[attempt, request] : shard.requests) {
+        // after a freeze, answers that came meanwhile still wait in the socket: they are read before the next tick
+        const bool isOverdue = request.isSent ? now >= request.attemptDeadline && !wasFrozen : now >= request.queueDeadline;
+        if (isOverdue) {
+            overdue.push_back(attempt);
+        }
+    }
+    for (const uint64_t attempt : overdue) {
+        const auto at = shard.requests.find(attempt);
+        if (at->second.isSent) {
+            this->onLost(shard, at, SlotOutcome::TimedOut, Reason::TargetTimeout, out);
+        } else {
+            this->endExchange(at, SlotOutcome::Cancelled, out);
+            this->refuse(shard, at, Reason::QueueDeadline, Duration::zero(), out);
+        }
+    }
+}
+
+} // namespace hornbeam
--- /dev/null
+++ b/src/requests/requestengine.h
@@ -0,0 +1,126 @@
+#pragma once
+
+// Requests other than feeds, from a caller's packet to the answer. Non-idempotent ones run at most once: only the instance that
+// made a request's Echo value runs it, and a record of it exists before it is sent.
+//
+// Sections: arrival (requestengine.cpp) | non-idempotent requests (posts.cpp) | exchanges with targets (exchanges.cpp) | drain (drain.cpp)
+
+#include "core/counters.h"
+#include "peer/directory.h"
+#include "requests/echo.h"
+#include "requests/settings.h"
+#include "requests/shard.h"
+#include "requests/targetexchanges.h"
+#include "slots/places.h"
+#include "table/servicetable.h"
+
+namespace hornbeam {
+
+/**
+ * Thread safe but for tick(), which one thread at a time may call. Lock order: one shard, then the parts called (slots, table,
+ * membership) or one of the leaf mutexes of TargetExchanges and TakenOverRecords. Two shards are never locked together.
+ */
+class RequestEngine final : public PlaceListener
+{
+public:
+    /** Precondition: all that is referred to outlives the engine; the directory knows this instance's own record already. */
+    RequestEngine(const RequestSettings &settings, const MemberDirectory &directory, const TableSource &tables, PlaceClient &places, const Clock &clock,
+                  Counters &counters, const KeyRing &keys);
+
+    /** A caller's request without Observe, from the fabric or relayed. Precondition: `message` was parsed from `origin.packet`. */
+    void onCallerPacket(const Relay &origin, const CoapMessage &message, Actions &out);
+    /**
+     * A packet from a target whose token is of TokenKind::Request, or an empty one (ACK, RST) whose message ID has the high bits 00.
+     * What belongs to no exchange, or comes from another target than the one asked, is a counted drop.
+     */
+    void onTargetPacket(const Endpoint &target, const uint8_t *data, size_t size, const CoapMessage &message, Actions &out);
+    /** The host of a target refused a datagram. */
+    void onTargetUnreachable(const Endpoint &target, Actions &out);
+    /** Records of an instance that leaves. */
+    void onRecordHandover(const RecordHandover &message, Actions &out);
+
+    void placeGranted(const Place &place, Actions &out) override;
+    void placeRefused(uint64_t request, Reason reason, Duration retryAfter, Actions &out) override;
+
+    /** Ends what is past its deadline and removes expired records. To be called every 50 ms or less. */
+    void tick(Actions &out);
+
+    /** From now on this instance makes no new Echo values. */
+    void beginDrain(Actions &out);
+    /** Refuses what is still queued, passes the newest records to the successor and takes no new number from then on. */
+    void handOver(Actions &out);
+
+    /** Whether no request is in progress. */
+    bool isIdle() const;
+    size_t inProgress() const;
+    /** Bytes of all records, those taken over included. */
+    size_t recordBytes() const;
+
+private:
+    using Requests = std::unordered_map<uint64_t, Request>;
+
+    //--- Arrival
+    Shard &shardOfFlow(ServiceId service, const Endpoint &caller);
+    Shard &shardOfAttempt(uint64_t attempt);
+    CallerExchange exchangeOf(const Relay &origin, const CoapMessage &message) const;
+    void onIdempotent(const Relay &origin, const CoapMessage &message, Actions &out);
+    bool joinInProgress(Shard &shard, const CallerKey &key, const CallerExchange &exchange, const AnswerContent &content, Actions &out);
+    Reason admissionFault(ServiceId service, const CoapMessage &message) const;
+    Request makeRequest(const CallerExchange &exchange, AnswerContent content, const CoapMessage &message) const;
+    void refuseUnstarted(const CallerExchange &exchange, Verdict verdict, Reason reason, Actions &out);
+    void answer(const CallerExchange &exchange, const AnswerContent &content, Actions &out);
+
+    //--- Non-idempotent requests
+    void onPost(const Relay &origin, const CoapMessage &message, Actions &out);
+    void challenge(const Relay &origin, const CoapMessage &message, Actions &out);
+    void relayFirst(const Relay &origin, const CallerExchange &exchange, Actions &out);
+    void onForeignPost(const Relay &origin, const CoapMessage &message, const EchoValue &value, Actions &out);
+    MemberId answererOf(const EchoValue &value, Reason &fault) const;
+    bool relay(const Relay &origin, MemberId peer, Actions &out);
+    void onOwnPost(const Relay &origin, const CoapMessage &message, const EchoValue &value, Actions &out);
+    void onKnownPost(Shard &shard, const Record &record, const CallerExchange &exchange, Actions &out);
+    Reason firstUseFault(const Shard &shard, const EchoValue &value) const;
+    void startPost(Shard &shard, const CallerExchange &exchange, const Relay &origin, const CoapMessage &message, uint64_t number, Actions &out);
+
+    //--- Exchanges with targets
+    void beginRequest(Shard &shard, Request request, Actions &out);
+    void beginAttempt(Shard &shard, Request request, Actions &out);
+    Reason grantFault(const Request &request, const Place &place) const;
+    void send(Request &request, uint64_t attempt, const Place &place, Actions &out);
+    void onEmptyPacket(const Endpoint &target, const CoapMessage &message, Actions &out);
+    void onAnswer(Shard &shard, Requests::iterator at, const CoapMessage &message, const uint8_t *data, size_t size, Actions &out);
+    void onShed(Shard &shard, Requests::iterator at, Actions &out);
+    void onLateAnswer(Shard &shard, uint64_t attempt, const Endpoint &target, const CoapMessage &message, const uint8_t *data, size_t size);
+    void onLost(Shard &shard, Requests::iterator at, SlotOutcome outcome, Reason reason, Actions &out);
+    Reason retryFault(Shard &shard, const Request &request, Reason cause);
+    void retry(Shard &shard, Requests::iterator at, RetryReason reason, Actions &out);
+    void refuse(Shard &shard, Requests::iterator at, Reason reason, Duration retryAfter, Actions &out);
+    void finish(Shard &shard, Requests::iterator at, Verdict verdict, Reason reason, AnswerContent content, Actions &out);
+    void endExchange(Requests::iterator at, SlotOutcome outcome, Actions &out);
+
+    //--- Deadlines and drain
+    void endOverdue(Shard &shard, bool wasFrozen, Actions &out);
+    void refuseQueued(Shard &shard, Actions &out);
+
+    const RequestSettings settings;
+    const MemberDirectory &directory;
+    const TableSource &tables;
+    PlaceClient &places;
+    const Clock &clock;
+    Counters &counters;
+    const MemberId selfId;
+    const Incarnation incarnation;
+    const uint64_t firstAttempt;
+    EchoMaker echoMaker;
+    RecordBudget recordBudget;
+    TakenOverRecords takenOver;
+    TargetExchanges exchanges;
+    std::vector<std::unique_ptr<Shard>> shards;
+    std::atomic<size_t> requestsInProgress{ 0 };
+    std::atomic<uint16_t> callerMessageId{ 0 }; // of non-confirmable answers
+    std::atomic<bool> isDraining{ false };
+    std::atomic<bool> isHandedOver{ false };
+    TimePoint lastTick;
+};
+
+} // namespace hornbeam
--- /dev/null
+++ b/src/requests/retrybudget.cpp
@@ -0,0 +1,25 @@
+#include "requests/retrybudget.h"
+
+#include <algorithm>
+
+namespace hornbeam {
+
+RetryBudget::RetryBudget(double ratio, double burst) : ratio(ratio), burst(burst), tokens(burst)
+{
+}
+
+void RetryBudget::addRequest()
+{
+    this->tokens = std::min(this->burst, this->tokens + this->ratio);
+}
+
+bool RetryBudget::takeRetry()
+{
+    if (this->tokens < 1.0) {
+        return false;
+    }
+    this->tokens -= 1.0;
+    return true;
+}
+
+} // namespace hornbeam
--- /dev/null
+++ b/tests/fakes.h
@@ -0,0 +1,112 @@
+#pragma once
+
+// Small fakes at the interfaces of the decision code.
+
+#include "peer/directory.h"
+#include "slots/places.h"
+#include "table/servicetable.h"
+
+#include <map>
+
+namespace hornbeam {
+
+/** Members as a test sets them; owners are the eligible members in the order of their identifiers. */
+class FakeDirectory final : public MemberDirectory
+{
+public:
+    MemberRecord own;
+    std::map<MemberId, MemberRecord> members;
+    std::vector<ZoneId> zones;
+
+    MemberRecord self() const override
+    {
+        return this->own;
+    }
+    std::optional<MemberRecord> find(MemberId member) const override
+    {
+        if (member == this->own.id) {
+            return this->own;
+        }
+        const auto found = this->members.find(member);
+        return found == this->members.end() ? std::nullopt : std::optional(found->second);
+    }
+    std::vector<MemberRecord> eligibleIn(ZoneId zone) const override
+    {
+        std::map<MemberId, MemberRecord> all = this->members;
+        all[this->own.id] = this->own;
+        std::vector<MemberRecord> eligible;
+        for (const auto &[id, member] : all) {
+            if (member.zone == zone && (member.state == MemberState::Alive || member.state == MemberState::Suspect)) {
+                eligible.push_back(member);
+            }
+        }
+        return eligible;
+    }
+    std::vector<ZoneId> reachableZones() const override
+    {
+        return this->zones;
+    }
+    MemberId ownerIn(ZoneId zone, uint64_t /*key*/, size_t rank) const override
+    {
+        const auto eligible = this->eligibleIn(zone);
+        return rank < eligible.size() ? eligible[rank].id : 0;
+    }
+    MemberId flowOwner(uint64_t flow) const override
+    {
+        return this->zones.empty() ? 0 : this->ownerIn(this->zones.front(), flow, 0);
+    }
+    uint64_t viewVersion() const override
+    {
+        return 1;
+    }
+};
+
+class FakeTables final : public TableSource
+{
+public:
+    std::map<ServiceId, std::shared_ptr<const ServiceTable>> tables;
+
+    std::shared_ptr<const ServiceTable> find(ServiceId service) const override
+    {
+        const auto found = this->tables.find(service);
+        return found == this->tables.end() ? nullptr : found->second;
+    }
+    std::vector<std::shared_ptr<const ServiceTable>> all() const override
+    {
+        std::vector<std::shared_ptr<const ServiceTable>> list;
+        for (const auto &[id, table] : this->tables) {
+            list.push_back(table);
+        }
+        return list;
+    }
+    uint64_t changes() const override
+    {
+        return this->tables.size();
+    }
+};
+
+/** Keeps every wish and every end; the test decides what becomes of a wish. */
+class FakePlaces final : public PlaceClient
+{
+public:
+    std::vector<PlaceWant> wants;                       // still open
+    std::vector<std::pair<uint64_t, SlotOutcome>> ends; // in the order they came
+
+    void beginPlace(const PlaceWant &want, Actions & /*out*/) override
+    {
+        this->wants.push_back(want);
+    }
+    void endPlace(uint64_t request, SlotOutcome outcome, Duration /*latency*/, Actions & /*out*/) override
+    {
+        std::erase_if(this->wants, [request](const PlaceWant &want) { return want.request == request; });
+        this->ends.emplace_back(request, outcome);
+    }
+    PlaceWant takeWant()
+    {
+        const PlaceWant want = this->wants.at(0);
+        this->wants.erase(this->wants.begin());
+        return want;
+    }
+};
+
+} // namespace hornbeam
