Requests: stories for four rules whose removal no test noticed

The records' story had no room for a second record even after the first was done, so it showed nothing; its limit now leaves room.

--- a/tests/requests_test.cpp
+++ b/tests/requests_test.cpp
@@ -65,6 +65,21 @@
     }
 }
 
+TEST_CASE("an answer has the type that its request asks for, and a refusal claims no more than is known")
+{
+    RequestBench bench;
+    bench.deliver(buildCoap(CoapType::NonConfirmable, CoapCode::Get, 5, { 1, 2 }, {}, ""));
+    bench.engine->placeRefused(bench.places.takeWant().request, Reason::NoSlot, {}, bench.out);
+    CHECK(bench.lastAnswer().type == CoapType::NonConfirmable);
+    CHECK(bench.lastAnswer().token == Bytes{ 1, 2 });
+    CHECK(bench.lastPayload() == "not_run: no_slot");
+    // a copy of a PUT may have reached another instance and run there
+    bench.deliver(bench.request(CoapCode::Put, {}, 6));
+    bench.engine->placeRefused(bench.places.takeWant().request, Reason::NoSlot, {}, bench.out);
+    CHECK(bench.lastAnswer().code == static_cast<uint8_t>(CoapCode::ServiceUnavailable));
+    CHECK(bench.lastPayload() == "may_have_run: no_slot");
+}
+
 TEST_CASE("retries stay within their budget")
 {
     RequestSettings settings;
@@ -205,6 +220,7 @@
         bench.grant(0);
         CHECK(bench.out.toTargets.empty());
         CHECK(bench.lastPayload() == "not_run: queue_deadline");
+        REQUIRE(bench.places.ends.size() == 1);
         CHECK(bench.places.ends.back().second == SlotOutcome::Cancelled);
     }
     SECTION("a process that stood still reads the answers that wait before it gives up")
@@ -226,8 +242,12 @@
     {
         bench.post(bench.echo(), 300);
         CHECK(bench.places.wants.at(1).patience == milliseconds(300));
-        bench.post(bench.echo(), 0);
+        const Bytes late = bench.echo();
+        bench.post(late, 0);
+        CHECK(bench.lastPayload() == "not_run: deadline_passed");
+        bench.post(late);
         CHECK(bench.lastPayload() == "not_run: deadline_passed");
+        CHECK(bench.places.wants.size() == 2);
     }
 }
 
@@ -244,7 +264,7 @@
 TEST_CASE("full records refuse new POSTs and drop none")
 {
     RequestSettings settings;
-    settings.maxRecordBytes = recordOverheadBytes + settings.answerReserveBytes;
+    settings.maxRecordBytes = 2 * recordOverheadBytes + settings.answerReserveBytes + 100; // one in progress, or one done and one in progress
     RequestBench bench(settings);
     const Bytes first = bench.echo();
     const Bytes second = bench.echo();
@@ -261,6 +281,8 @@
         bench.post(second);
         CHECK(bench.lastPayload() == "not_run: records_full");
         CHECK(bench.places.wants.empty());
+        bench.post(bench.echo());
+        CHECK(bench.places.wants.size() == 1);
     }
     SECTION("what ran is still answered")
     {
@@ -333,6 +355,8 @@
         record.state = MemberState::Left;
         entry.post(value);
         CHECK(entry.lastPayload() == "booked");
+        entry.deliver(entry.request(CoapCode::Post, value, 900, {}, "another bid"));
+        CHECK(entry.lastAnswer().echo.size() == echoBytes);
         entry.post(queued);
         CHECK(entry.lastPayload() == "not_run: draining");
         entry.post(unused);
