--- a/src/core/counters.cpp
+++ b/src/core/counters.cpp
@@ -4,7 +4,6 @@
 
 namespace {
 
-<<<<<<< HEAD
 constexpr std::string_view counterNames[] = {
     "packets_from_callers",
     "packets_from_targets",
@@ -40,16 +39,7 @@
     "platform_calls",
     "platform_errors",
     "stream_sends_dropped",
-=======
-constexpr std::array<std::string_view, 32> counterNames{
-    "packets_from_callers", "packets_from_targets",   "packets_from_peers",   "peer_packets_rejected", "stream_messages",
-    "stream_rejected",      "control_bytes_sent",     "relay_bytes_sent",     "relays_sent",           "requests_served",
-    "echo_values_made",     "repeats_answered",       "records_handed_over",  "records_taken_over",    "slots_granted",
-    "slots_reclaimed",      "keeper_rebuilds",        "feeds_opened",         "feeds_closed",          "feeds_moved_in",
-    "feeds_moved_out",      "feed_copies_stored",     "notifications_sent",   "targets_probed",        "members_suspected",
-    "members_failed",       "table_versions_applied", "table_versions_stale", "table_rows_rejected",   "platform_calls",
-    "platform_errors",      "answers_unmatched",
->>>>>>> requests
+    "answers_unmatched",
 };
 static_assert(std::size(counterNames) == static_cast<size_t>(Counter::Count));
 
