Add the keeper of a zone's places and the client that asks it

Purpose: exact request slots and feed places of a target over all instances, through keeper changes, drains, cold starts and shedding. A keeper of a new term queries all eligible members of all reachable zones: one small datagram each way; the holder's own report at a keeper change only adds leaving members, which no list names. HeldQuery and HeldReport got fields at their end, so that a check lists a few places and only the absent ones come back; a whole report for each check would grow with the open feeds. Ruled out: earliest-deadline-first in the queue (under overload it prefers those about to be late; admission already refuses them), epochs of the clock alone (two keepers that take over in the same millisecond would share one).

--- a/src/peer/messages.h
+++ b/src/peer/messages.h
@@ -208,18 +208,19 @@
     }
 };
 
-/** A new keeper asks each member what it holds; also sent now and then to find places whose release was lost. */
+/** A new keeper asks each member what it holds; with `requests`, which of these are not held, to find places whose release was lost. */
 struct HeldQuery
 {
     MemberId keeper = 0;
     ServiceId service = 0;
     ZoneId zone = 0;
     uint64_t epoch = 0;
+    std::vector<uint64_t> requests; // empty: all places are asked for
 
     template<typename Visitor>
     void visitFields(Visitor &visit)
     {
-        visit(this->keeper, this->service, this->zone, this->epoch);
+        visit(this->keeper, this->service, this->zone, this->epoch, this->requests);
     }
 };
 
@@ -234,11 +235,13 @@
     uint16_t part = 0;
     uint16_t parts = 1;
     std::vector<HeldPlace> places;
+    std::vector<uint64_t> absent; // requests of the query that are neither held nor waited for
+    bool isAudit = false;         // only about the places named: an answer to a query that listed requests, or a correction
 
     template<typename Visitor>
     void visitFields(Visitor &visit)
     {
-        visit(this->holder, this->incarnation, this->service, this->zone, this->epoch, this->part, this->parts, this->places);
+        visit(this->holder, this->incarnation, this->service, this->zone, this->epoch, this->part, this->parts, this->places, this->absent, this->isAudit);
     }
 };
 
--- /dev/null
+++ b/src/slots/choice.cpp
@@ -0,0 +1,88 @@
+#include "slots/choice.h"
+
+#include <cmath>
+
+namespace hornbeam {
+
+namespace {
+
+bool isFree(const Candidate &candidate)
+{
+    return candidate.used < candidate.limit;
+}
+
+double scoreOf(const Candidate &candidate, uint64_t flow)
+{
+    return rendezvousScore(flow, candidate.row->id, candidate.row->weight);
+}
+
+/** How busy the target would be with one request more. */
+double busyness(const Candidate &candidate)
+{
+    return (candidate.used + candidate.extra + 1) / (static_cast<double>(candidate.limit) * candidate.row->weight);
+}
+
+/** Feeds that a target may have before another one is preferred. */
+uint32_t feedShare(const Candidate &candidate, double feeds, double weights, uint32_t boundedLoadPercent)
+{
+    return static_cast<uint32_t>(std::ceil(feeds * candidate.row->weight / weights * boundedLoadPercent / 100.0));
+}
+
+} // namespace
+
+double rendezvousScore(uint64_t flow, TargetId target, uint32_t weight)
+{
+    constexpr double hashRange = 18446744073709551616.0; // 2^64
+    const double uniform = (static_cast<double>(mixHash(flow, target)) + 1) / (hashRange + 2);
+    return -static_cast<double>(weight) / std::log(uniform);
+}
+
+const TargetRow *chooseForRequest(const std::vector<Candidate> &candidates, uint64_t flow, Preference preference)
+{
+    const Candidate *first = nullptr;
+    const Candidate *best = nullptr;
+    for (const Candidate &candidate : candidates) {
+        if (first == nullptr || scoreOf(candidate, flow) > scoreOf(*first, flow)) {
+            first = &candidate;
+        }
+        if (!isFree(candidate)) {
+            continue;
+        }
+        const bool isTie = best != nullptr && busyness(candidate) == busyness(*best);
+        if (best == nullptr || busyness(candidate) < busyness(*best) || (isTie && scoreOf(candidate, flow) > scoreOf(*best, flow))) {
+            best = &candidate;
+        }
+    }
+    if (best == nullptr) {
+        return nullptr;
+    }
+    return preference == Preference::Persistence && isFree(*first) ? first->row : best->row;
+}
+
+const TargetRow *chooseForFeed(const std::vector<Candidate> &candidates, uint64_t flow, Preference preference, uint32_t boundedLoadPercent)
+{
+    double feeds = 1; // this one included
+    double weights = 0;
+    for (const Candidate &candidate : candidates) {
+        feeds += candidate.used;
+        weights += candidate.row->weight;
+    }
+    const Candidate *free = nullptr;
+    const Candidate *even = nullptr;
+    for (const Candidate &candidate : candidates) {
+        if (!isFree(candidate)) {
+            continue;
+        }
+        if (free == nullptr || scoreOf(candidate, flow) > scoreOf(*free, flow)) {
+            free = &candidate;
+        }
+        const bool isEven = candidate.used < feedShare(candidate, feeds, weights, boundedLoadPercent);
+        if (isEven && (even == nullptr || scoreOf(candidate, flow) > scoreOf(*even, flow))) {
+            even = &candidate;
+        }
+    }
+    const Candidate *chosen = preference == Preference::Balance && even != nullptr ? even : free;
+    return chosen == nullptr ? nullptr : chosen->row;
+}
+
+} // namespace hornbeam
--- /dev/null
+++ b/src/slots/slotclient.h
@@ -0,0 +1,131 @@
+#pragma once
+
+// Obtains places from keepers on behalf of this instance's requests and feeds, and tells keepers which ones are held.
+//
+// Sections: wishes | answers | reports | periodic work
+
+#include "core/counters.h"
+#include "peer/directory.h"
+#include "slots/places.h"
+#include "slots/settings.h"
+#include "table/servicetable.h"
+
+#include <map>
+#include <mutex>
+#include <tuple>
+#include <unordered_map>
+
+namespace hornbeam {
+
+constexpr uint64_t feedRequestBit = 1ULL << 63; // set in the request numbers of feeds
+
+/** All methods are thread safe; one mutex guards the state, and listeners are called after it is released. */
+class SlotClient final : public PlaceClient
+{
+public:
+    /** Precondition: the arguments outlive the client. */
+    SlotClient(const SlotClientSettings &settings, const MemberDirectory &directory, const TableSource &tables, const Clock &clock, Counters &counters);
+
+    /** Sets who hears of request slots and of feed places. Precondition: called before any other method; both outlive the client. */
+    void setListeners(PlaceListener &requests, PlaceListener &feeds);
+
+    //--- Wishes
+    void beginPlace(const PlaceWant &want, Actions &out) override;
+    void endPlace(uint64_t request, SlotOutcome outcome, Duration latency, Actions &out) override;
+
+    //--- Answers
+    /** Takes a grant; one of an earlier epoch is ignored, one that nobody waits for is given back. */
+    void onSlotGrant(const SlotGrant &grant, Actions &out);
+    /** Tries another zone, queues, or refuses the wish. */
+    void onSlotRefusal(const SlotRefusal &refusal, Actions &out);
+
+    //--- Reports
+    /** Reports all places, or those of the query that are not held. */
+    void onHeldQuery(const HeldQuery &query, Actions &out);
+
+    //--- Periodic work
+    /** Repeats asks, ends wishes whose patience is over, reports to new keepers. To be called every 50 ms or less. */
+    void tick(Actions &out);
+    /** Places held now. */
+    size_t heldCount() const;
+
+private:
+    struct Wish
+    {
+        PlaceWant want;
+        TimePoint deadline;
+        TimePoint nextAskAt;
+        std::vector<ZoneId> untried; // zones not yet asked without queueing, the next one last
+        ZoneId zone = 0;             // the zone asked now
+        MemberId keeper = 0;         // the instance asked now
+        bool isQueueing = false;
+        bool isRefused = false; // ends at the next tick
+        bool isHeard = false;   // some keeper has answered
+        Reason reason = Reason::KeeperUnreachable;
+        uint32_t retryAfterMs = 0;
+        ZoneId queueZone = 0; // the zone whose refusal promised the shortest wait
+        uint32_t queueWaitMs = UINT32_MAX;
+    };
+    struct HeldEntry
+    {
+        Place place;
+        PlaceKind kind = PlaceKind::Request;
+    };
+    struct KeeperKey
+    {
+        ServiceId service = 0;
+        ZoneId zone = 0;
+
+        bool operator<(const KeeperKey &other) const
+        {
+            return std::tie(this->service, this->zone) < std::tie(other.service, other.zone);
+        }
+    };
+    struct KeeperTerm
+    {
+        uint64_t epoch = 0;
+        uint16_t parts = 0;  // of the report of this epoch; 0 before the first
+        MemberId keeper = 0; // as the directory names it
+        size_t held = 0;     // places held of it
+    };
+    struct Refused
+    {
+        uint64_t request = 0;
+        Reason reason = Reason::None;
+        Duration retryAfter{};
+    };
+
+    PlaceListener &listenerOf(uint64_t request) const;
+    Wish makeWish(const PlaceWant &want, const ServiceTable &table) const;
+    std::vector<ZoneId> spillZones(const PlaceWant &want, const ServiceTable &table) const;
+    MemberId keeperOf(ServiceId service, ZoneId zone) const;
+    void sendAsk(Wish &wish, Actions &out);
+    void sendRelease(const Place &place, SlotOutcome outcome, Duration latency, Actions &out);
+    void withdraw(const Wish &wish, Actions &out);
+    bool takeGrant(const SlotGrant &grant, Actions &out);
+    /** Moves a refused wish on. Returns false when there is nothing left to try. */
+    bool askElsewhere(Wish &wish, const SlotRefusal &refusal, Actions &out);
+    void sendReport(const KeeperKey &key, KeeperTerm &term, MemberId keeper, bool splitAnew, Actions &out);
+    /** Tells a keeper that granted another place for the same request which one is held. */
+    void sendCorrection(MemberId keeper, const HeldEntry &entry, Actions &out);
+    void sendAuditReport(const HeldQuery &query, uint64_t epoch, Actions &out);
+    void updateWish(Wish &wish, bool viewChanged, std::vector<Refused> &refused, Actions &out);
+    void reportToNewKeepers(Actions &out);
+    void notifyRefused(const std::vector<Refused> &refused, Actions &out);
+
+    const SlotClientSettings settings;
+    const MemberDirectory &directory;
+    const TableSource &tables;
+    const Clock &clock;
+    Counters &counters;
+    const MemberRecord self;
+    PlaceListener *requestListener = nullptr;
+    PlaceListener *feedListener = nullptr;
+    mutable std::mutex mutex;
+    std::unordered_map<uint64_t, Wish> wishes;
+    std::map<uint64_t, HeldEntry> held;
+    std::map<KeeperKey, KeeperTerm> terms;
+    uint64_t viewVersion = 0;
+};
+
+} // namespace hornbeam
--- /dev/null
+++ b/src/slots/targetstate.cpp
@@ -0,0 +1,184 @@
+#include "slots/targetstate.h"
+
+#include "core/coap.h"
+
+#include <algorithm>
+#include <cmath>
+#include <nlohmann/json.hpp>
+
+namespace hornbeam {
+
+namespace {
+
+constexpr uint32_t mostDoublings = 10;
+constexpr uint8_t payloadMarker = 0xFF; // RFC 7252, 3
+
+Duration doubled(Duration base, uint32_t times, Duration most)
+{
+    return std::min(base * (1U << std::min(times, mostDoublings)), most);
+}
+
+/** The length that a nibble of an option's head stands for (RFC 7252, 3.1); moves `at` past its extension. */
+std::optional<size_t> optionLength(const Bytes &packet, size_t &at, uint8_t nibble)
+{
+    if (nibble < 13) {
+        return nibble;
+    }
+    const size_t extension = nibble == 13 ? 1 : 2;
+    if (nibble == 15 || at + extension > packet.size()) {
+        return std::nullopt;
+    }
+    const size_t length = nibble == 13 ? packet[at] + 13U : ((static_cast<size_t>(packet[at]) << 8U) | packet[at + 1]) + 269U;
+    at += extension;
+    return length;
+}
+
+/** Where the payload begins; the datagram's size when it has none. */
+size_t payloadOffset(const Bytes &packet, size_t tailOffset)
+{
+    size_t at = tailOffset;
+    while (at < packet.size()) {
+        const uint8_t head = packet[at++];
+        if (head == payloadMarker) {
+            return at;
+        }
+        const auto delta = optionLength(packet, at, head >> 4U);
+        const auto length = optionLength(packet, at, head & 15U);
+        if (!delta.has_value() || !length.has_value()) {
+            return packet.size();
+        }
+        at += *length;
+    }
+    return packet.size();
+}
+
+bool readFlag(const nlohmann::json &report, const char *name, bool &flag)
+{
+    const auto found = report.find(name);
+    if (found == report.end()) {
+        return true;
+    }
+    flag = found->is_boolean() && found->get<bool>();
+    return found->is_boolean();
+}
+
+} // namespace
+
+std::optional<HealthReport> parseHealth(const Bytes &packet, size_t tailOffset)
+{
+    const size_t offset = payloadOffset(packet, tailOffset);
+    const auto begin = packet.begin() + static_cast<std::ptrdiff_t>(offset);
+    const auto json = nlohmann::json::parse(begin, packet.end(), nullptr, false);
+    if (!json.is_object()) {
+        return std::nullopt;
+    }
+    HealthReport report;
+    const auto load = json.find("load");
+    const auto busy = json.find("busy");
+    if (load == json.end() || !load->is_number() || busy == json.end() || !busy->is_number_unsigned()) {
+        return std::nullopt;
+    }
+    report.load = load->get<double>();
+    report.busy = static_cast<uint32_t>(std::min<uint64_t>(busy->get<uint64_t>(), UINT32_MAX));
+    const bool inRange = report.load >= 0 && report.load <= 1;
+    if (!inRange || !readFlag(json, "draining", report.draining) || !readFlag(json, "cold", report.cold)) {
+        return std::nullopt;
+    }
+    return report;
+}
+
+Bytes buildProbe(uint16_t messageId, const Bytes &token)
+{
+    return buildCoap(CoapType::Confirmable, CoapCode::Get, messageId, token, { { optionUriPath, optionValue(std::string_view("health")) } }, "");
+}
+
+void TargetState::beginColdStart(TimePoint now)
+{
+    this->rampStart = now;
+}
+
+void TargetState::updateOutcome(SlotOutcome outcome, const KeeperSettings &settings, TimePoint now, bool mayEject)
+{
+    switch (outcome) {
+    case SlotOutcome::Answered:
+        this->answeredAt = now;
+        this->timeouts = 0;
+        this->sheds = 0;
+        this->ejections = 0;
+        break;
+    case SlotOutcome::Shed:
+        this->timeouts = 0; // it is alive
+        this->backOffUntil = now + doubled(settings.shedBase, this->sheds, settings.shedMost);
+        ++this->sheds;
+        break;
+    case SlotOutcome::TimedOut:
+    case SlotOutcome::Reset:
+        if (this->isEjected(now)) {
+            break; // sent before it was ejected
+        }
+        ++this->timeouts;
+        if (this->timeouts >= settings.timeoutsToEject && mayEject) {
+            this->ejectedUntil = now + doubled(settings.ejectBase, this->ejections, settings.ejectMost);
+            ++this->ejections;
+            this->timeouts = 0;
+            this->rampStart = this->ejectedUntil; // it comes back with one slot
+        }
+        break;
+    case SlotOutcome::Cancelled:
+        break;
+    }
+}
+
+void TargetState::updateHealth(const HealthReport &report, TimePoint now)
+{
+    this->probeFailures = 0;
+    this->draining = report.draining;
+    this->load = report.load;
+    this->loadAt = now;
+    if (report.cold && !this->reportsCold) {
+        this->rampStart = now; // once: a target that always says so still gets all its slots in the end
+    }
+    this->reportsCold = report.cold;
+}
+
+void TargetState::updateProbeFailed()
+{
+    ++this->probeFailures;
+}
+
+bool TargetState::isEjected(TimePoint now) const
+{
+    return now < this->ejectedUntil;
+}
+
+bool TargetState::isFailed(const KeeperSettings &settings, TimePoint now) const
+{
+    const bool answers = this->answeredAt.has_value() && now - *this->answeredAt <= settings.answerTrust;
+    return this->probeFailures >= settings.probeFailures && !answers;
+}
+
+bool TargetState::isBackingOff(TimePoint now) const
+{
+    return now < this->backOffUntil;
+}
+
+uint32_t TargetState::usableSlots(uint32_t slots, const KeeperSettings &settings, TimePoint now) const
+{
+    if (!this->rampStart.has_value() || now >= *this->rampStart + settings.coldStart) {
+        return slots;
+    }
+    const double share = std::max(0.0, std::chrono::duration<double>(now - *this->rampStart) / std::chrono::duration<double>(settings.coldStart));
+    return std::clamp(static_cast<uint32_t>(slots * share), 1U, slots);
+}
+
+double TargetState::reportedExtra(uint32_t busy, uint32_t slots, const KeeperSettings &settings, TimePoint now) const
+{
+    if (!this->loadAt.has_value() || now - *this->loadAt >= settings.loadTrust) {
+        return 0;
+    }
+    const double freshness = 1.0 - std::chrono::duration<double>(now - *this->loadAt) / std::chrono::duration<double>(settings.loadTrust);
+    // whole slots only, so that noise in the report doesn't undo ties
+    return std::floor(std::max(0.0, this->load * slots - busy) * freshness);
+}
+
+} // namespace hornbeam
--- /dev/null
+++ b/src/slots/targetstate.h
@@ -0,0 +1,80 @@
+#pragma once
+
+// What a keeper knows of one target: its own observations first, then probes, which may lag or be wrong.
+
+#include "peer/messages.h"
+#include "slots/settings.h"
+#include "table/servicetable.h"
+
+#include <optional>
+
+namespace hornbeam {
+
+/** What a target's health endpoint says of it. */
+struct HealthReport
+{
+    double load = 0; // 0 to 1
+    uint32_t busy = 0;
+    bool draining = false;
+    bool cold = false;
+};
+
+/** Reads a health answer: the datagram whose options begin at `tailOffset`. Returns nothing when it is malformed. Thread safe. */
+std::optional<HealthReport> parseHealth(const Bytes &packet, size_t tailOffset);
+
+/** A confirmable GET /health. Thread safe. */
+Bytes buildProbe(uint16_t messageId, const Bytes &token);
+
+/** Not thread safe: the keeper's mutex guards it. */
+class TargetState
+{
+public:
+    /** Starts the slow start ramp, for a target that is new or comes back. */
+    void beginColdStart(TimePoint now);
+    /** Takes in how a request ended. `mayEject` is false when too many targets are ejected. */
+    void updateOutcome(SlotOutcome outcome, const KeeperSettings &settings, TimePoint now, bool mayEject);
+    /** Takes in an answer to a probe. */
+    void updateHealth(const HealthReport &report, TimePoint now);
+    /** Takes in a probe without a good answer. */
+    void updateProbeFailed();
+
+    /** Whether consecutive time-outs have excluded it for now. */
+    bool isEjected(TimePoint now) const;
+    /** Whether probes fail and no real answer speaks against them. */
+    bool isFailed(const KeeperSettings &settings, TimePoint now) const;
+    /** Whether it just shed a request. */
+    bool isBackingOff(TimePoint now) const;
+    /** Whether its health endpoint says that it leaves. */
+    bool isDraining() const
+    {
+        return this->draining;
+    }
+    /** Slots that may be used now: the row's, or fewer during slow start; at least 1. */
+    uint32_t usableSlots(uint32_t slots, const KeeperSettings &settings, TimePoint now) const;
+    /** Slots that the target reports as busy beyond `busy`, discounted by the report's age. */
+    double reportedExtra(uint32_t busy, uint32_t slots, const KeeperSettings &settings, TimePoint now) const;
+
+    // the probe in progress, and notices; kept by the keeper
+    uint64_t probeNumber = 0; // 0 when none is in progress
+    TimePoint probeSentAt;
+    TimePoint nextProbeAt;
+    bool leaveNoticed = false;
+    bool failNoticed = false;
+    TimePoint nextNoticeAt;
+
+private:
+    std::optional<TimePoint> rampStart;
+    bool reportsCold = false;
+    bool draining = false;
+    double load = 0;
+    std::optional<TimePoint> loadAt;
+    uint32_t probeFailures = 0;
+    std::optional<TimePoint> answeredAt;
+    uint32_t timeouts = 0;
+    uint32_t ejections = 0;
+    TimePoint ejectedUntil;
+    uint32_t sheds = 0;
+    TimePoint backOffUntil;
+};
+
+} // namespace hornbeam
