Test two keepers that take over in the same millisecond

Purpose: shows why an epoch carries bits of the keeper's identifier; the random schedules don't bring this about.

--- a/tests/slotclient_test.cpp
+++ b/tests/slotclient_test.cpp
@@ -179,6 +179,19 @@
     }
 }
 
+TEST_CASE("two keepers that take over in the same millisecond don't both grant")
+{
+    FakeFleet fleet({ 1, 1, 1 });
+    fleet.at(2).directory.updateOwner(1, 2); // the others see instance 1
+    useTargets(fleet, 1, 1);
+    fleet.begin(2, 1, PlaceKind::Request, milliseconds(500));
+    fleet.begin(3, 2, PlaceKind::Request, milliseconds(500));
+    for (int i = 0; i < 20; ++i) {
+        fleet.run(milliseconds(50));
+        CHECK(fleet.used(1) <= 1);
+    }
+}
+
 TEST_CASE("control bytes of one request are within budget")
 {
     // identifiers as long on the wire as hashes
