--- /dev/null
+++ b/src/apps/hornbeamd.cpp
@@ -0,0 +1,57 @@
+// hornbeamd: one balancer instance.
+
+#include "daemon.h"
+#include "settings.h"
+
+#include <CLI/CLI.hpp>
+#include <coap3/coap.h>
+#include <glog/logging.h>
+#include <iostream>
+
+namespace {
+
+constexpr int badSettings = 2;
+
+}
+
+int main(int argc, char **argv)
+{
+    std::string path;
+    bool checkOnly = false;
+    bool printDefaults = false;
+    CLI::App app("hornbeamd: a balancer instance of hornbeamrouter");
+    app.set_version_flag("--version", "hornbeamd " HORNBEAM_VERSION);
+    app.add_option("--settings", path, "JSON settings file");
+    app.add_flag("--check-settings", checkOnly, "check the settings file, print every fault, and exit");
+    app.add_flag("--print-defaults", printDefaults, "print the settings with their defaults, and exit");
+    app.footer("Example:\n  hornbeamd --settings /etc/hornbeamrouter/hornbeamd.json\nExit codes: 0 planned stop or good settings, 1 failed, 2 bad settings or usage.");
+    try {
+        app.parse(argc, argv);
+    } catch (const CLI::ParseError &error) {
+        const int code = app.exit(error);
+        return code == 0 ? 0 : 2;
+    }
+    if (printDefaults) {
+        return hornbeam::printDefaults(std::cout);
+    }
+    if (path.empty()) {
+        std::cerr << "--settings is required\n";
+        return badSettings;
+    }
+    if (checkOnly) {
+        return hornbeam::checkSettings(path, std::cout);
+    }
+    const hornbeam::CheckedSettings checked = hornbeam::loadSettings(path);
+    if (!checked.settings) {
+        return hornbeam::checkSettings(path, std::cerr); // prints every fault
+    }
+    const hornbeam::LoadedKeys keys = hornbeam::loadKeys(checked.settings->keyFiles);
+    if (!keys.faults.empty()) {
+        return hornbeam::checkSettings(path, std::cerr);
+    }
+    google::InitGoogleLogging(argv[0]);
+    FLAGS_logtostderr = true;
+    coap_set_log_level(LOG_EMERG); // malformed packets are counted, not logged
+    hornbeam::Daemon daemon(*checked.settings, keys.keys);
+    return daemon.run();
+}
--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -52,8 +52,37 @@
 void Membership::setTableDigest(uint64_t digest)
 {
     const std::lock_guard lock(this->mutex);
-    this->tableDigest = digest;
-    this->tableDiffering.clear(); // compared with the digest that has just gone
+    if (digest != this->tableDigest) {
+        this->tableDigest = digest;
+        this->tableDiffering.clear(); // compared with the digest that has just gone
+    }
+}
+
+void Membership::tellTableDigest(MemberId peer, Actions &out)
+{
+    const std::lock_guard lock(this->mutex);
+    if (peer != 0 && peer != this->own.id) {
+        this->sendPing(peer, this->nextSequence++, out);
+    }
+}
+
+TableAgreement Membership::tableAgreement() const
+{
+    const std::lock_guard lock(this->mutex);
+    TableAgreement agreement{1, 1, {}};
+    for (const MemberRecord &member : this->view.load()->records()) {
+        if (member.zone != this->own.zone || member.id == this->own.id || !isLive(member.state)) {
+            continue;
+        }
+        ++agreement.members;
+        const auto heard = this->heardDigests.find(member.id);
+        if (heard != this->heardDigests.end() && heard->second == this->tableDigest) {
+            ++agreement.agreeing;
+        } else {
+            agreement.laggards.push_back(member.peer);
+        }
+    }
+    return agreement;
 }
 
 std::vector<MemberId> Membership::takeTableDiffering()
@@ -199,6 +228,9 @@
     } else if (!this->isListed && isLive(sender.state)) {
         this->askForList(sender.id, sender.zone, out);
     }
+    if (sender.zone == this->own.zone) {
+        this->heardDigests[sender.id] = digest;
+    }
     const MemberEntry *entry = this->table.find(sender.id);
     const bool isRunning = entry != nullptr && isLive(entry->record.state);
     if (digest == this->tableDigest || !isRunning) {
--- a/src/membership/membership.h
+++ b/src/membership/membership.h
@@ -52,6 +52,14 @@
 
 //--- Membership
 
+/** How far the tables in force here are in force in the zone. */
+struct TableAgreement
+{
+    uint32_t members = 0;           // live ones, this one included
+    uint32_t agreeing = 0;          // of those, with the same tables, this one included
+    std::vector<Endpoint> laggards; // peer endpoints of the others
+};
+
 /** The member directory of one process. All methods are thread safe; none waits for anything but the own mutex. */
 class Membership final : public MemberDirectory
 {
@@ -78,6 +86,10 @@
 
     /** The hash over the table versions in force here, told to others. */
     void setTableDigest(uint64_t digest);
+    /** Tells one member the hash at once, e.g. the one that reports what is in force. */
+    void tellTableDigest(MemberId peer, Actions &out);
+    /** Which live members of the own zone were last heard with the same hash. */
+    TableAgreement tableAgreement() const;
     /** The members heard from since the last call whose table digest differs from ours. */
     std::vector<MemberId> takeTableDiffering();
     /** All records, sorted by identifier, for dumps. */
@@ -151,6 +163,7 @@
     std::mt19937_64 random;
     uint64_t tableDigest = 0;
     std::set<MemberId> tableDiffering;
+    std::map<MemberId, uint64_t> heardDigests; // the hash that each member of the own zone last told
     bool changed = true;   // the view has to be built anew
     bool isListed = false; // a list of the own zone has arrived
     std::vector<ZoneId> reachable;
--- a/src/table/tablesync.cpp
+++ b/src/table/tablesync.cpp
@@ -219,4 +219,9 @@
     return this->holdsRank(0);
 }
 
+MemberId TableSync::reporter() const
+{
+    return this->directory.ownerIn(this->directory.self().zone, watcherKey, 0);
+}
+
 } // namespace hornbeam
--- a/src/table/tablesync.h
+++ b/src/table/tablesync.h
@@ -47,6 +47,8 @@
     bool isWatcher() const;
     /** Whether this instance writes its zone's status object. */
     bool isReporter() const;
+    /** The member that writes it; 0 when there is none. */
+    MemberId reporter() const;
 
 private:
     struct Pull
