Streams and membership: linter clean; a freeze story that needs the pause check

Cause: the story of a frozen member passed with the pause check removed, since its probes always fell outside the cut; with a cut of 450 ms, just under a probe's time, it fails without the check (trial on a scratch copy) and passes with it. The pool's map is unordered: the linter mistakes Endpoint's defaulted <=> for a null pointer where an ordered map uses it.

--- a/src/transport/http2session.cpp
+++ b/src/transport/http2session.cpp
@@ -2,6 +2,7 @@
 
 #include "transport/http2session.h"
 
+#include <algorithm>
 #include <array>
 #include <nghttp2/nghttp2.h>
 
@@ -9,7 +10,7 @@
 
 namespace {
 
-constexpr size_t outputBytes = 64 * 1024;                  // per write
+constexpr size_t outputBytes = 64UL * 1024;                // per write
 constexpr int32_t connectionWindowBytes = 4 * 1024 * 1024; // unread bytes that a peer may have under way
 constexpr char messagePath[] = "/message";
 
--- a/src/transport/http2session.h
+++ b/src/transport/http2session.h
@@ -10,8 +10,8 @@
 
 namespace hornbeam {
 
-constexpr size_t maxStreamBodyBytes = 1024 * 1024 + 64 * 1024; // the platform's largest value, and room for what stands around it
-constexpr uint32_t maxStreamsPerConnection = 8;                // open at a time
+constexpr size_t maxStreamBodyBytes = 1024UL * 1024 + 64UL * 1024; // the platform's largest value, and room for what stands around it
+constexpr uint32_t maxStreamsPerConnection = 8;                    // open at a time
 
 enum class StreamStatus : uint16_t {
     Failed = 0, // the stream ended without an answer
--- a/src/transport/streamclient.cpp
+++ b/src/transport/streamclient.cpp
@@ -15,6 +15,7 @@
 #include <deque>
 #include <map>
 #include <mutex>
+#include <unordered_map>
 #include <vector>
 
 namespace hornbeam {
@@ -24,7 +25,7 @@
 using boost::asio::ip::tcp;
 using boost::system::error_code;
 
-constexpr size_t readBytes = 4 * 1024;
+constexpr size_t readBytes = 4UL * 1024;
 constexpr std::chrono::milliseconds watchInterval{ 500 }; // how often a connection is checked for being idle or stalled
 
 /** A sealed message on its way. */
@@ -42,7 +43,7 @@
     StreamClientSettings settings;
     Counters &counters;
     std::mutex mutex; // guards `peers`, and `queue` and `queuedBytes` of each connection
-    std::map<Endpoint, std::shared_ptr<PeerConnection>> peers;
+    std::unordered_map<Endpoint, std::shared_ptr<PeerConnection>> peers;
 };
 
 /** All private methods run on the strand. */
--- a/src/transport/streams.h
+++ b/src/transport/streams.h
@@ -10,6 +10,7 @@
 #include "peer/messages.h"
 #include "peer/seal.h"
 
+#include <chrono>
 #include <functional>
 #include <memory>
 #include <string>
@@ -28,7 +29,7 @@
 struct StreamServerSettings
 {
     size_t connections = 1024;                            // open at a time, 16 to 65536; further ones are closed at once
-    size_t bodyBytes = 32 * 1024 * 1024;                  // bytes, 2 MiB up: bodies that have arrived in part, over all connections
+    size_t bodyBytes = 32UL * 1024 * 1024;                // bytes, 2 MiB up: bodies that have arrived in part, over all connections
     std::chrono::seconds idle = std::chrono::seconds(60); // s, 5 to 3600: then a connection without a whole message is closed
 };
 
@@ -37,7 +38,7 @@
 public:
     /** Binds a listener; port 0 takes any free one. Precondition: `context`, `sealer` and `counters` outlive the last handler that runs on the context. */
     StreamServer(boost::asio::io_context &context, const Endpoint &local, const StreamServerSettings &settings, const PacketSealer &sealer, Counters &counters,
-                 StreamHandler handler);
+                 const StreamHandler &handler);
     ~StreamServer();
     StreamServer(const StreamServer &) = delete;
     StreamServer &operator=(const StreamServer &) = delete;
@@ -60,7 +61,7 @@
 
 struct StreamClientSettings
 {
-    size_t queueBytes = 4 * 1024 * 1024;                                     // bytes, 2 MiB up: queued and unanswered for one peer
+    size_t queueBytes = 4UL * 1024 * 1024;                                   // bytes, 2 MiB up: queued and unanswered for one peer
     unsigned attempts = 4;                                                   // 1 to 10: connections tried before a message is given up
     std::chrono::milliseconds idle = std::chrono::seconds(30);               // ms, 1000 up: then an unused connection is closed
     std::chrono::milliseconds stalled = std::chrono::seconds(5);             // ms, 1000 up: then a connection that answers nothing is given up
--- a/src/transport/streamserver.cpp
+++ b/src/transport/streamserver.cpp
@@ -22,7 +22,7 @@
 using boost::asio::ip::tcp;
 using boost::system::error_code;
 
-constexpr size_t readBytes = 16 * 1024;
+constexpr size_t readBytes = 16UL * 1024;
 
 class ServerConnection;
 
@@ -277,8 +277,8 @@
 };
 
 StreamServer::StreamServer(boost::asio::io_context &context, const Endpoint &local, const StreamServerSettings &settings, const PacketSealer &sealer,
-                           Counters &counters, StreamHandler handler)
-    : impl(std::make_shared<Impl>(context, std::shared_ptr<ServerShared>(new ServerShared{ settings, sealer, counters, std::move(handler), 0, {}, {} })))
+                           Counters &counters, const StreamHandler &handler)
+    : impl(std::make_shared<Impl>(context, std::shared_ptr<ServerShared>(new ServerShared{ settings, sealer, counters, handler, 0, {}, {} })))
 {
     this->impl->open(local);
 }
--- a/tests/membership_test.cpp
+++ b/tests/membership_test.cpp
@@ -113,12 +113,12 @@
     {
         for (int trial = 0; trial < 5; ++trial) { // at different moments between two probes
             net.isLost = [](size_t, size_t to) { return to == 4; };
-            net.run(milliseconds(300));
+            net.run(milliseconds(450)); // less than a probe may take
             net.nodes[4]->frozen = true;
             net.run(seconds(20));
             net.nodes[4]->frozen = false;
             net.isLost = [](size_t, size_t) { return false; };
-            net.run(seconds(10) + milliseconds(110));
+            net.run(seconds(10) + trial * milliseconds(110));
         }
         CHECK(net.nodes[4]->counters.value(Counter::MembersSuspected) == 0);
         CHECK(net.agree(9));
