--- /dev/null
+++ b/src/membership/probes.cpp
@@ -0,0 +1,122 @@
+// The part of Membership that time drives: probes, direct and through others, suspicions, and pauses of this process.
+
+#include "membership/membership.h"
+
+#include <algorithm>
+
+namespace hornbeam {
+
+void Membership::tick(Actions &out)
+{
+    const std::lock_guard lock(this->mutex);
+    if (this->own.state == MemberState::Left) {
+        return;
+    }
+    const TimePoint now = this->clock.now();
+    this->noticePause(now);
+    this->checkProbe(now, out);
+    if (now >= this->nextProbe) {
+        this->nextProbe = now + this->settings.probeInterval;
+        this->beginProbe(now, out);
+    }
+    this->changed = this->table.endSuspicions(now - this->settings.suspicion, now) || this->changed;
+    this->changed = this->table.forgetGone(now - this->settings.goneKept) || this->changed;
+    if (now >= this->nextDigest) {
+        this->nextDigest = now + this->settings.digestInterval;
+        this->listsLeft = this->settings.listsPerSecond;
+        this->tellZone(out);
+        this->contactSeeds(out);
+    }
+    this->publish();
+}
+
+/** After a pause of this process its unanswered probes say nothing about others. */
+void Membership::noticePause(TimePoint now)
+{
+    const Duration pause = now - this->lastTick;
+    this->lastTick = now;
+    if (pause <= this->settings.pauseBound) {
+        return;
+    }
+    this->probe.subject = 0;
+    this->indirect.clear();
+    this->table.delaySuspicions(pause);
+    this->contacts.delay(pause, now);
+}
+
+void Membership::checkProbe(TimePoint now, Actions &out)
+{
+    const Duration indirectKept = this->settings.probeInterval;
+    std::erase_if(this->indirect, [now, indirectKept](const IndirectProbe &made) { return now - made.sentAt > indirectKept; });
+    if (this->probe.subject == 0) {
+        return;
+    }
+    const Duration waited = now - this->probe.sentAt;
+    if (waited >= this->settings.probeInterval) {
+        this->changed = this->table.beginSuspicion(this->probe.subject, now) || this->changed;
+        this->sendPing(this->probe.subject, this->nextSequence++, out); // it may still refute
+        this->probe.subject = 0;
+    } else if (waited >= this->settings.probeTimeout && !this->probe.asked) {
+        this->probe.asked = true;
+        this->askOthers(out);
+    }
+}
+
+void Membership::beginProbe(TimePoint now, Actions &out)
+{
+    const MemberId subject = this->nextToProbe();
+    if (subject == 0 || this->probe.subject != 0) {
+        return;
+    }
+    this->probe = Probe{ this->nextSequence++, subject, now, false };
+    this->sendPing(subject, this->probe.sequence, out);
+}
+
+/** The next one of a shuffled round over the zone's live members; 0 when there is none. */
+MemberId Membership::nextToProbe()
+{
+    for (int round = 0; round < 2; ++round) {
+        while (this->probeAt < this->probeOrder.size()) {
+            const MemberId candidate = this->probeOrder[this->probeAt++];
+            const MemberEntry *entry = this->table.find(candidate);
+            if (entry != nullptr && isLive(entry->record.state)) {
+                return candidate;
+            }
+        }
+        this->probeOrder.clear();
+        for (const MemberRecord &record : this->table.liveIn(this->own.zone)) {
+            this->probeOrder.push_back(record.id);
+        }
+        std::shuffle(this->probeOrder.begin(), this->probeOrder.end(), this->random);
+        this->probeAt = 0;
+    }
+    return 0;
+}
+
+void Membership::askOthers(Actions &out)
+{
+    const MemberEntry *subject = this->table.find(this->probe.subject);
+    if (subject == nullptr) {
+        return;
+    }
+    std::vector<MemberId> helpers;
+    for (const MemberRecord &record : this->table.liveIn(this->own.zone)) {
+        if (record.id != this->probe.subject) {
+            helpers.push_back(record.id);
+        }
+    }
+    for (const MemberId helper : this->someOf(std::move(helpers), this->settings.indirectProbes)) {
+        out.sendToPeer(helper, PingRequest{ this->probe.sequence, this->own, subject->record });
+    }
+}
+
+std::vector<MemberId> Membership::someOf(std::vector<MemberId> candidates, size_t most)
+{
+    std::shuffle(candidates.begin(), candidates.end(), this->random);
+    if (candidates.size() > most) {
+        candidates.resize(most);
+    }
+    return candidates;
+}
+
+} // namespace hornbeam
