Feeds: several in one FeedMove, grouped by receiver and text

Cause: one feed a message took 41 bytes and the pace was spent on message heads (448 feeds in 20 s at 3,000 B/s). Ruled out: grouping by text alone, since texts differ within a batch.

--- a/src/feeds/feed.h
+++ b/src/feeds/feed.h
@@ -6,6 +6,7 @@
 #include "core/coap.h"
 #include "peer/messages.h"
 
+#include <algorithm>
 #include <array>
 #include <memory>
 
@@ -34,6 +35,13 @@
 /** Precondition: at most maxTokenBytes of token; more are cut off. Thread safe. */
 FeedKey makeFeedKey(ServiceId service, const Endpoint &caller, const Bytes &token);
 
+/** `first` doubled with each attempt, at most five times. Thread safe. */
+inline Duration backoff(Duration first, unsigned attempts)
+{
+    constexpr unsigned maxShift = 5;
+    return first * (1U << std::min(attempts, maxShift));
+}
+
 enum class RegistrationState : uint8_t {
     Free,        // not in use
     Waiting,     // a place was refused; asks again when due
--- a/src/feeds/feedengine.cpp
+++ b/src/feeds/feedengine.cpp
@@ -12,6 +12,17 @@
 
 constexpr double drainBytesPerFeed = 48; // a FeedMove's share of one feed, with room for repeats
 
+// the state of a message's next feed from that of the one before it
+void updateState(FeedState &state, const FeedCaller &next)
+{
+    state.caller = next.caller;
+    state.token = next.token;
+    state.sequence = next.sequence;
+    if (!next.registration.empty()) {
+        state.registration = next.registration;
+    }
+}
+
 } // namespace
 
 FeedEngine::FeedEngine(const FeedSettings &settings, const MemberDirectory &directory, const TableSource &tables, PlaceClient &places, const Clock &clock,
@@ -68,9 +79,7 @@
     FeedState state = move.feed;
     for (size_t i = 0; i <= move.others.size(); ++i) {
         if (i > 0) {
-            state.caller = move.others[i - 1].caller;
-            state.token = move.others[i - 1].token;
-            state.sequence = move.others[i - 1].sequence;
+            updateState(state, move.others[i - 1]);
         }
         FeedShard &shard = this->shardFor(flowKey(state.service, state.caller));
         const std::lock_guard lock(shard.mutex);
@@ -83,9 +92,7 @@
     FeedState state = copy.feed;
     for (size_t i = 0; i <= copy.others.size(); ++i) {
         if (i > 0) {
-            state.caller = copy.others[i - 1].caller;
-            state.token = copy.others[i - 1].token;
-            state.sequence = copy.others[i - 1].sequence;
+            updateState(state, copy.others[i - 1]);
         }
         FeedShard &shard = this->shardFor(flowKey(state.service, state.caller));
         const std::lock_guard lock(shard.mutex);
--- a/src/feeds/feedmoves.cpp
+++ b/src/feeds/feedmoves.cpp
@@ -1,6 +1,6 @@
 // Owners of a shard's feeds: what is moved where, and the copies.
 //
-// Sections: messages | checks after a change | sending
+// Sections: messages | checks after a change
 
 #include "feeds/feedshard.h"
 
@@ -8,16 +8,6 @@
 
 namespace hornbeam {
 
-namespace {
-
-constexpr size_t feedsPerMessage = 32;     // keeps a message below the smallest usual MTU
-constexpr double messageBytes = 110;       // head, signature and first feed of a message, about
-constexpr double feedBytes = 24;           // each further feed, about
-constexpr size_t replacementsPerTick = 64; // in one shard
-constexpr size_t copiesDroppedPerTick = 64;
-
-} // namespace
-
 //--- Messages
 
 // A feed is accepted even when this view names another owner: the sender's view does not, and once both agree a sweep moves it on.
@@ -139,7 +129,7 @@
     }
     const FeedKey &key = this->store.feed(index).key;
     for (const MemberId peer : waiting->second) {
-        this->taken[TakenGroup{ peer, key.service }].push_back(FeedCaller{ key.caller, key.token(), 0 });
+        this->taken[TakenGroup{ peer, key.service }].push_back(FeedCaller{ key.caller, key.token(), 0, {} });
     }
     this->takeovers.erase(waiting);
 }
@@ -189,7 +179,7 @@
         const auto [move, isNew] = this->moves.try_emplace(index);
         move->second.to = owner;
         if (isNew) {
-            this->outgoing.push_back(feed.key);
+            this->outgoing[this->groupOf(feed, owner)].emplace(feed.registration, feed.key);
         }
     }
     if (feed.copyHolder != 0 && this->isGone(feed.copyHolder)) {
@@ -234,10 +224,11 @@
         entry.previousOwner = 0;
     }
     if (owner != this->context.self) {
-        if (entry.pushTo == 0) {
-            this->outgoing.push_back(entry.key);
-        }
+        const bool isNew = entry.pushTo == 0;
         entry.pushTo = owner;
+        if (isNew) {
+            this->outgoing[this->groupOf(entry)].emplace(entry.registration, entry.key);
+        }
         return;
     }
     FeedState state{ entry.key.service, entry.key.caller, entry.key.token(), *entry.registration, entry.sequence, entry.pushFor, 0 };
@@ -262,146 +253,4 @@
     return 0;
 }
 
-//--- Sending
-
-void FeedShard::sendReplacements(Actions &out)
-{
-    const TimePoint now = this->context.clock.now();
-    for (size_t sent = 0; sent < replacementsPerTick && !this->replacements.empty() && this->context.targetMoves.isOpen(now); ++sent) {
-        const uint32_t index = this->replacements.front();
-        this->replacements.pop_front();
-        const Feed &feed = this->store.feed(index);
-        if (!feed.used || feed.closing || feed.cancelling || feed.next != noIndex) {
-            continue;
-        }
-        const Registration &current = this->store.registration(feed.current);
-        const bool isPlaced = current.state != RegistrationState::Asking && current.state != RegistrationState::Waiting;
-        if (isPlaced && !this->isUsable(feed.key.service, current)) {
-            this->context.targetMoves.take(1);
-            this->replaceTarget(index, RetryReason::TargetDraining, false, out);
-        }
-    }
-}
-
-// adds what is still to be moved to a batch; returns false when nothing is
-bool FeedShard::addToBatch(const FeedKey &key, MoveBatch &batch)
-{
-    const uint32_t index = this->store.findFeed(key);
-    if (index != noIndex) {
-        const auto move = this->moves.find(index);
-        if (move == this->moves.end()) {
-            return false;
-        }
-        const Feed &feed = this->store.feed(index);
-        const MemberId holder = feed.copyHolder == move->second.to ? 0 : feed.copyHolder;
-        batch[MoveGroup{ move->second.to, this->context.self, holder, key.service, feed.registration }].push_back(
-            FeedCaller{ key.caller, key.token(), feed.sequence });
-        return true;
-    }
-    const FeedCopyEntry *copy = this->copies.find(key);
-    if (copy == nullptr || copy->pushTo == 0) {
-        return false;
-    }
-    batch[MoveGroup{ copy->pushTo, copy->pushFor, this->context.self, key.service, copy->registration }].push_back(
-        FeedCaller{ key.caller, key.token(), copy->sequence });
-    return true;
-}
-
-namespace {
-
-FeedState firstOf(ServiceId service, const Bytes &text, MemberId owner, MemberId copyHolder, std::vector<FeedCaller> &feeds)
-{
-    FeedState state{ service, feeds.back().caller, std::move(feeds.back().token), text, feeds.back().sequence, owner, copyHolder };
-    feeds.pop_back();
-    return state;
-}
-
-double sizeOf(const Bytes &text, size_t feeds)
-{
-    return messageBytes + static_cast<double>(text.size()) + feedBytes * static_cast<double>(feeds);
-}
-
-} // namespace
-
-void FeedShard::sendMoves(Actions &out)
-{
-    const TimePoint now = this->context.clock.now();
-    const TimePoint start = this->context.drainStart;
-    const bool isHeld = this->context.draining && now < start + this->context.settings.copyGrace;
-    if (isHeld || !this->context.moveBytes.isOpen(now)) {
-        return;
-    }
-    MoveBatch batch;
-    for (size_t taken = 0; taken < feedsPerMessage;) {
-        const bool isResendDue = !this->resend.empty() && this->resend.front().sentAt + this->context.settings.moveRetry <= now;
-        if (this->outgoing.empty() && !isResendDue) {
-            break;
-        }
-        const FeedKey key = this->outgoing.empty() ? this->resend.front().key : this->outgoing.front();
-        this->outgoing.empty() ? this->resend.pop_front() : this->outgoing.pop_front();
-        if (this->addToBatch(key, batch)) {
-            this->resend.push_back(Resend{ key, now });
-            ++taken;
-        }
-    }
-    for (auto &[group, feeds] : batch) {
-        this->context.moveBytes.take(sizeOf(*group.text, feeds.size()));
-        FeedState first = firstOf(group.service, *group.text, group.owner, group.copyHolder, feeds);
-        out.sendToPeer(group.to, FeedMove{ std::move(first), this->context.self, std::move(feeds) });
-    }
-}
-
-void FeedShard::sendCopies(Actions &out)
-{
-    if (this->context.draining || this->copyQueue.empty() || !this->context.moveBytes.isOpen(this->context.clock.now())) {
-        return;
-    }
-    MoveBatch batch;
-    for (size_t taken = 0; taken < feedsPerMessage && !this->copyQueue.empty(); ++taken) {
-        const uint32_t index = this->store.findFeed(this->copyQueue.front());
-        this->copyQueue.pop_front();
-        if (index == noIndex || this->store.feed(index).closing) {
-            continue;
-        }
-        Feed &feed = this->store.feed(index);
-        feed.copyHolder = feed.copyHolder != 0 ? feed.copyHolder : this->chooseCopyHolder(feed.key.flow());
-        feed.copiedAt = this->context.clock.now();
-        if (feed.copyHolder != 0) {
-            batch[MoveGroup{ feed.copyHolder, this->context.self, feed.copyHolder, feed.key.service, feed.registration }].push_back(
-                FeedCaller{ feed.key.caller, feed.key.token(), feed.sequence });
-        }
-    }
-    for (auto &[group, feeds] : batch) {
-        this->context.moveBytes.take(sizeOf(*group.text, feeds.size()));
-        FeedState first = firstOf(group.service, *group.text, group.owner, group.copyHolder, feeds);
-        out.sendToPeer(group.to, FeedCopy{ std::move(first), std::move(feeds) });
-    }
-}
-
-void FeedShard::sendTaken(Actions &out)
-{
-    for (auto &[group, feeds] : this->taken) {
-        for (size_t begin = 0; begin < feeds.size(); begin += feedsPerMessage) {
-            const auto from = feeds.begin() + static_cast<std::ptrdiff_t>(begin);
-            const auto to = feeds.begin() + static_cast<std::ptrdiff_t>(std::min(begin + feedsPerMessage, feeds.size()));
-            FeedTaken message{ group.service, from->caller, from->token, this->context.self, std::vector<FeedCaller>(from + 1, to) };
-            out.sendToPeer(group.to, std::move(message));
-        }
-    }
-    this->taken.clear();
-}
-
-void FeedShard::removeOldCopies()
-{
-    const TimePoint now = this->context.clock.now();
-    for (size_t dropped = 0; dropped < copiesDroppedPerTick; ++dropped) {
-        const FeedCopyEntry *oldest = this->copies.oldest();
-        if (oldest == nullptr || oldest->storedAt + this->context.settings.copyLifetime > now) {
-            return;
-        }
-        const FeedKey key = oldest->key;
-        this->copies.remove(key);
-    }
-}
-
 } // namespace hornbeam
--- /dev/null
+++ b/src/feeds/feedsends.cpp
@@ -0,0 +1,197 @@
+// Paced sending of what a shard has to move: feeds to other targets, feeds and copies to other members.
+
+#include "feeds/feedshard.h"
+
+#include <algorithm>
+
+namespace hornbeam {
+
+namespace {
+
+constexpr size_t feedsPerMessage = 32; // keeps a message below the smallest usual MTU, together with maxMessageBytes
+constexpr double maxMessageBytes = 1000;
+constexpr double headBytes = 110;          // IP and UDP heads, signature and first feed of a message, about
+constexpr double feedBytes = 24;           // each further feed, about
+constexpr size_t replacementsPerTick = 64; // in one shard
+constexpr size_t copiesDroppedPerTick = 64;
+
+} // namespace
+
+void FeedShard::sendReplacements(Actions &out)
+{
+    const TimePoint now = this->context.clock.now();
+    for (size_t sent = 0; sent < replacementsPerTick && !this->replacements.empty() && this->context.targetMoves.isOpen(now); ++sent) {
+        const uint32_t index = this->replacements.front();
+        this->replacements.pop_front();
+        const Feed &feed = this->store.feed(index);
+        if (!feed.used || feed.closing || feed.cancelling || feed.next != noIndex) {
+            continue;
+        }
+        const Registration &current = this->store.registration(feed.current);
+        const bool isPlaced = current.state != RegistrationState::Asking && current.state != RegistrationState::Waiting;
+        if (isPlaced && !this->isUsable(feed.key.service, current)) {
+            this->context.targetMoves.take(1);
+            this->replaceTarget(index, RetryReason::TargetDraining, false, out);
+        }
+    }
+}
+
+FeedShard::MoveGroup FeedShard::groupOf(const Feed &feed, MemberId to) const
+{
+    return MoveGroup{ to, this->context.self, feed.copyHolder == to ? 0 : feed.copyHolder, feed.key.service };
+}
+
+FeedShard::MoveGroup FeedShard::groupOf(const FeedCopyEntry &copy) const
+{
+    return MoveGroup{ copy.pushTo, copy.pushFor, this->context.self, copy.key.service };
+}
+
+// adds what is still to be moved to a batch; returns false when nothing is
+bool FeedShard::addToBatch(const FeedKey &key, MoveBatch &batch)
+{
+    const uint32_t index = this->store.findFeed(key);
+    if (index != noIndex) {
+        const auto move = this->moves.find(index);
+        if (move == this->moves.end()) {
+            return false;
+        }
+        const Feed &feed = this->store.feed(index);
+        batch[this->groupOf(feed, move->second.to)].push_back(MoveItem{ feed.registration, FeedCaller{ key.caller, key.token(), feed.sequence, {} } });
+        return true;
+    }
+    const FeedCopyEntry *copy = this->copies.find(key);
+    if (copy == nullptr || copy->pushTo == 0) {
+        return false;
+    }
+    batch[this->groupOf(*copy)].push_back(MoveItem{ copy->registration, FeedCaller{ key.caller, key.token(), copy->sequence, {} } });
+    return true;
+}
+
+// takes the next feed to be sent, or one whose confirmation is overdue; the receivers take turns
+bool FeedShard::takeOutgoing(FeedKey &key)
+{
+    if (!this->outgoing.empty()) {
+        auto group = this->outgoing.lower_bound(this->lastGroup);
+        group = group == this->outgoing.end() ? this->outgoing.begin() : group;
+        this->lastGroup = group->first;
+        const auto next = group->second.begin();
+        key = next->second;
+        group->second.erase(next);
+        if (group->second.empty()) {
+            this->outgoing.erase(group);
+        }
+        return true;
+    }
+    const Duration wait = this->context.settings.moveRetry;
+    if (this->resend.empty() || this->resend.front().sentAt + wait > this->context.clock.now()) {
+        return false;
+    }
+    key = this->resend.front().key;
+    this->resend.pop_front();
+    return true;
+}
+
+std::vector<FeedShard::MoveMessage> FeedShard::packMessages(const MoveGroup &group, std::vector<MoveItem> &items)
+{
+    std::sort(items.begin(), items.end(), [](const MoveItem &a, const MoveItem &b) { return a.text < b.text; });
+    std::vector<MoveMessage> messages;
+    double bytes = 0;
+    for (size_t i = 0; i < items.size(); ++i) {
+        FeedCaller &feed = items[i].feed;
+        const bool isNewText = i == 0 || items[i].text != items[i - 1].text;
+        const double added = feedBytes + (isNewText ? static_cast<double>(items[i].text->size()) : 0);
+        if (messages.empty() || bytes + added > maxMessageBytes) {
+            bytes = headBytes + static_cast<double>(items[i].text->size());
+            this->context.moveBytes.take(bytes);
+            messages.push_back({ { group.service, feed.caller, std::move(feed.token), *items[i].text, feed.sequence, group.owner, group.copyHolder }, {} });
+            continue;
+        }
+        if (isNewText) {
+            feed.registration = *items[i].text;
+        }
+        bytes += added;
+        this->context.moveBytes.take(added);
+        messages.back().others.push_back(std::move(feed));
+    }
+    return messages;
+}
+
+void FeedShard::sendMoves(Actions &out)
+{
+    const TimePoint now = this->context.clock.now();
+    const TimePoint start = this->context.drainStart;
+    const bool isHeld = this->context.draining && now < start + this->context.settings.copyGrace;
+    if (isHeld || !this->context.moveBytes.isOpen(now)) {
+        return;
+    }
+    const auto turn = this->outgoing.upper_bound(this->lastGroup);
+    this->lastGroup = turn == this->outgoing.end() ? MoveGroup{} : turn->first;
+    MoveBatch batch;
+    FeedKey key;
+    for (size_t taken = 0; taken < feedsPerMessage && this->takeOutgoing(key);) {
+        if (this->addToBatch(key, batch)) {
+            this->resend.push_back(Resend{ key, now });
+            ++taken;
+        }
+    }
+    for (auto &[group, items] : batch) {
+        for (MoveMessage &message : this->packMessages(group, items)) {
+            out.sendToPeer(group.to, FeedMove{ std::move(message.first), this->context.self, std::move(message.others) });
+        }
+    }
+}
+
+void FeedShard::sendCopies(Actions &out)
+{
+    if (this->context.draining || this->copyQueue.empty() || !this->context.moveBytes.isOpen(this->context.clock.now())) {
+        return;
+    }
+    MoveBatch batch;
+    for (size_t taken = 0; taken < feedsPerMessage && !this->copyQueue.empty(); ++taken) {
+        const uint32_t index = this->store.findFeed(this->copyQueue.front());
+        this->copyQueue.pop_front();
+        if (index == noIndex || this->store.feed(index).closing) {
+            continue;
+        }
+        Feed &feed = this->store.feed(index);
+        feed.copyHolder = feed.copyHolder != 0 ? feed.copyHolder : this->chooseCopyHolder(feed.key.flow());
+        feed.copiedAt = this->context.clock.now();
+        if (feed.copyHolder != 0) {
+            batch[MoveGroup{ feed.copyHolder, this->context.self, feed.copyHolder, feed.key.service }].push_back(
+                MoveItem{ feed.registration, FeedCaller{ feed.key.caller, feed.key.token(), feed.sequence, {} } });
+        }
+    }
+    for (auto &[group, items] : batch) {
+        for (MoveMessage &message : this->packMessages(group, items)) {
+            out.sendToPeer(group.to, FeedCopy{ std::move(message.first), std::move(message.others) });
+        }
+    }
+}
+
+void FeedShard::sendTaken(Actions &out)
+{
+    for (auto &[group, feeds] : this->taken) {
+        for (size_t begin = 0; begin < feeds.size(); begin += feedsPerMessage) {
+            const auto from = feeds.begin() + static_cast<std::ptrdiff_t>(begin);
+            const auto to = feeds.begin() + static_cast<std::ptrdiff_t>(std::min(begin + feedsPerMessage, feeds.size()));
+            FeedTaken message{ group.service, from->caller, from->token, this->context.self, std::vector<FeedCaller>(from + 1, to) };
+            out.sendToPeer(group.to, std::move(message));
+        }
+    }
+    this->taken.clear();
+}
+
+void FeedShard::removeOldCopies()
+{
+    const TimePoint now = this->context.clock.now();
+    for (size_t dropped = 0; dropped < copiesDroppedPerTick; ++dropped) {
+        const FeedCopyEntry *oldest = this->copies.oldest();
+        if (oldest == nullptr || oldest->storedAt + this->context.settings.copyLifetime > now) {
+            return;
+        }
+        const FeedKey key = oldest->key;
+        this->copies.remove(key);
+    }
+}
+
+} // namespace hornbeam
--- a/src/feeds/feedshard.h
+++ b/src/feeds/feedshard.h
@@ -12,6 +12,7 @@
 
 #include <map>
 #include <mutex>
+#include <tuple>
 
 namespace hornbeam {
 
@@ -80,16 +81,32 @@
         MemberId owner = 0;
         MemberId copyHolder = 0;
         ServiceId service = 0;
+        bool operator<(const MoveGroup &other) const
+        {
+            return std::tie(this->to, this->owner, this->copyHolder, this->service) < std::tie(other.to, other.owner, other.copyHolder, other.service);
+        }
+    };
+    struct MoveItem
+    {
         std::shared_ptr<const Bytes> text;
-        auto operator<=>(const MoveGroup &) const = default;
+        FeedCaller feed;
     };
     struct TakenGroup
     {
         MemberId to = 0;
         ServiceId service = 0;
-        auto operator<=>(const TakenGroup &) const = default;
+        bool operator<(const TakenGroup &other) const
+        {
+            return std::tie(this->to, this->service) < std::tie(other.to, other.service);
+        }
+    };
+    struct MoveMessage // what FeedMove and FeedCopy have in common
+    {
+        FeedState first;
+        std::vector<FeedCaller> others;
     };
-    using MoveBatch = std::map<MoveGroup, std::vector<FeedCaller>>;
+    using MoveBatch = std::map<MoveGroup, std::vector<MoveItem>>;
+    using MoveQueue = std::multimap<std::shared_ptr<const Bytes>, FeedKey>; // by text, so that a message holds few different ones
 
     // callers
     void onCallerEmpty(const Relay &origin, const CoapMessage &message, Actions &out);
@@ -133,7 +150,11 @@
     void sweep(Actions &out);
     void sendReplacements(Actions &out);
     void sendMoves(Actions &out);
+    MoveGroup groupOf(const Feed &feed, MemberId to) const;
+    MoveGroup groupOf(const FeedCopyEntry &copy) const;
+    bool takeOutgoing(FeedKey &key);
     bool addToBatch(const FeedKey &key, MoveBatch &batch);
+    std::vector<MoveMessage> packMessages(const MoveGroup &group, std::vector<MoveItem> &items);
     void sendCopies(Actions &out);
     void sendTaken(Actions &out);
     void removeOldCopies();
@@ -153,7 +174,8 @@
     std::map<TakenGroup, std::vector<FeedCaller>> taken;           // FeedTaken of the next tick
     std::unordered_map<TargetId, TimePoint> leavingTargets;        // targets that leave or failed, and when a keeper said so
     std::unordered_map<Endpoint, TimePoint> unreachable;           // targets whose host refused a packet
-    std::deque<FeedKey> outgoing;                                  // feeds and copies to be moved
+    std::map<MoveGroup, MoveQueue> outgoing;                       // feeds and copies to be moved
+    MoveGroup lastGroup;                                           // the one whose turn it is
     std::deque<Resend> resend;                                     // the same, sent and not confirmed
     std::deque<uint32_t> replacements;                             // feeds whose target is to be replaced
     std::deque<FeedKey> copyQueue;                                 // feeds whose copy is to be sent
--- a/src/peer/messages.h
+++ b/src/peer/messages.h
@@ -335,12 +335,13 @@
     Endpoint caller;
     Bytes token;
     uint32_t sequence = 0;
+    Bytes registration; // empty: that of the feed before it
 
     bool operator==(const FeedCaller &) const = default;
     template<typename Visitor>
     void visitFields(Visitor &visit)
     {
-        visit(this->caller, this->token, this->sequence);
+        visit(this->caller, this->token, this->sequence, this->registration);
     }
 };
 
--- a/tests/feedfakes.h
+++ b/tests/feedfakes.h
@@ -156,7 +156,7 @@
     uint32_t sequence = 0;
     uint64_t takenAtMs = 0;
     bool hasState = false;
-    bool rising = true; // every packet it got was newer than the one before
+    bool rising = true; // each packet it got was newer than the last
     bool answersConfirmable = true;
     std::set<std::string> seen;
     CoapMessage last;
@@ -177,7 +177,6 @@
     std::string state = "0";
     std::function<bool()> loseToCaller = [] { return false; };
     std::function<bool()> loseFromTarget = [] { return false; };
-    size_t moveMessages = 0;
 
     explicit FeedWorld(std::vector<MemberId> members)
     {
@@ -349,7 +348,6 @@
         if (const auto *relay = std::get_if<Relay>(&sent.message)) {
             engine.onCallerPacket(*relay, *parseCoap(relay->packet), out);
         } else if (const auto *move = std::get_if<FeedMove>(&sent.message)) {
-            ++moveMessages;
             engine.onMessage(*move, out);
         } else if (const auto *copy = std::get_if<FeedCopy>(&sent.message)) {
             engine.onMessage(*copy, out);
@@ -364,13 +362,7 @@
     {
         FakeTarget &target = targets[sent.endpoint];
         const auto message = parseCoap(sent.packet);
-        if (target.silent) {
-            return;
-        }
-        if (message->type == CoapType::Reset) {
-            return;
-        }
-        if (message->code == 0) {
+        if (target.silent || message->code == 0) {
             return;
         }
         const FakeTarget::Observer observer{ from, message->token };
