--- a/src/apps/settings.cpp
+++ b/src/apps/settings.cpp
@@ -41,13 +41,16 @@
 // the content of a file; a fault at `path` of the settings when it can't be read
 std::optional<std::string> readFileOrFault(const std::string &file, const std::string &path, std::vector<Fault> &faults)
 {
-    return leaf::try_handle_all([&]() -> leaf::result<std::optional<std::string>> { return std::optional(BOOST_LEAF_CHECK(readFile(file))); },
-                                [&](Fault fault) -> std::optional<std::string> {
-                                    fault.path = path;
-                                    faults.push_back(fault);
-                                    return std::nullopt;
-                                },
-                                [&]() -> std::optional<std::string> { return std::nullopt; });
+    const auto read = [&]() -> leaf::result<std::optional<std::string>> {
+        BOOST_LEAF_AUTO(text, readFile(file));
+        return std::optional<std::string>(text);
+    };
+    const auto report = [&](Fault fault) -> std::optional<std::string> {
+        fault.path = path;
+        faults.push_back(fault);
+        return std::nullopt;
+    };
+    return leaf::try_handle_all(read, report, []() -> std::optional<std::string> { return std::nullopt; });
 }
 
 bool isHexDigit(char byte)
