--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -6,6 +6,12 @@
 
 namespace hornbeam {
 
+std::string_view nameOf(MemberState state)
+{
+    constexpr std::string_view names[] = {"alive", "suspect", "leaving", "left", "dead"};
+    return names[static_cast<size_t>(state)];
+}
+
 namespace {
 
 constexpr unsigned sendsPerDoubling = 3; // a change is told this often for each doubling of the zone
--- a/src/membership/membership.h
+++ b/src/membership/membership.h
@@ -26,6 +26,7 @@
 #include <mutex>
 #include <random>
 #include <set>
+#include <string_view>
 
 namespace hornbeam {
 
@@ -52,6 +53,9 @@
 
 //--- Membership
 
+/** The name used in dumps. Thread safe. */
+std::string_view nameOf(MemberState state);
+
 /** How far the tables in force here are in force in the zone. */
 struct TableAgreement
 {
