--- a/src/apps/daemon.cpp
+++ b/src/apps/daemon.cpp
@@ -29,7 +29,7 @@
 
 Endpoint peerEndpoint(const DaemonSettings &settings)
 {
-    return Endpoint{settings.address, settings.peerPort};
+    return Endpoint{ settings.address, settings.peerPort };
 }
 
 MemberRecord selfRecord(const DaemonSettings &settings, const Clock &clock)
@@ -66,16 +66,17 @@
         , context(static_cast<int>(settings.workers))
         , services(this->context, settings.address, settings.workers,
                    [this](ServiceId service, const Endpoint &caller, const uint8_t *data, size_t size) { this->onCallerPacket(service, caller, data, size); })
-        , streamServer(this->context, peerEndpoint(settings), StreamServerSettings{}, this->sealer, this->counters, [this](const PeerMessage &message) {
-            this->counters.add(Counter::StreamMessages);
-            this->onPeerMessage(message);
-        })
+        , streamServer(this->context, peerEndpoint(settings), StreamServerSettings{}, this->sealer, this->counters,
+                       [this](const PeerMessage &message) {
+                           this->counters.add(Counter::StreamMessages);
+                           this->onPeerMessage(message);
+                       })
         , streamClient(this->context, StreamClientSettings{}, this->sealer, this->counters)
-        , metrics(this->context, Endpoint{settings.address, settings.metricsPort})
+        , metrics(this->context, Endpoint{ settings.address, settings.metricsPort })
         , signals(this->context, SIGTERM, SIGINT)
         , tickTimer(this->context)
         , exitTimer(this->context)
-        , platform(this->platformContext, this->counters, PlatformSettings{settings.platform})
+        , platform(this->platformContext, this->counters, PlatformSettings{ settings.platform })
         , tableWatcher(this->platform, this->clock, std::random_device()(), [this](const std::vector<PlatformObject> &objects) { this->onTables(objects); })
         , statusReporter(this->platform, this->clock)
         , platformTimer(this->platformContext)
@@ -115,8 +116,8 @@
     bool open()
     {
         bool good = this->openSockets(this->peerSockets, peerEndpoint(this->settings));
-        good = good && this->openSockets(this->targetSockets, Endpoint{this->settings.address, 0});
-        for (const std::string &error : {this->streamServer.error(), this->metrics.error()}) {
+        good = good && this->openSockets(this->targetSockets, Endpoint{ this->settings.address, 0 });
+        for (const std::string &error : { this->streamServer.error(), this->metrics.error() }) {
             if (!error.empty()) {
                 LOG(ERROR) << error;
                 good = false;
@@ -305,7 +306,7 @@
             status.laggards.push_back(toString(laggard));
         }
         for (const TableState &state : this->node.tables().states()) {
-            status.services.push_back({state.service, state.version});
+            status.services.push_back({ state.service, state.version });
             if (state.refusedVersion > state.version) {
                 status.refused.push_back(state.service);
             }
@@ -377,10 +378,10 @@
     boost::asio::steady_timer tickTimer;
     boost::asio::steady_timer exitTimer;
     uint64_t seenTableChanges = ~0ULL; // only the tick reads and writes it
-    std::atomic<int> exitCode{0};
+    std::atomic<int> exitCode{ 0 };
 
     // one thread of its own: the platform client is not thread safe
-    boost::asio::io_context platformContext{1};
+    boost::asio::io_context platformContext{ 1 };
     PlatformClient platform;
     TableWatcher tableWatcher;
     StatusReporter statusReporter;
@@ -388,8 +389,7 @@
     TimePoint nextInstances;
 };
 
-Daemon::Daemon(const DaemonSettings &settings, const std::vector<Bytes> &keys)
-    : impl(std::make_unique<Impl>(settings, keys))
+Daemon::Daemon(const DaemonSettings &settings, const std::vector<Bytes> &keys) : impl(std::make_unique<Impl>(settings, keys))
 {
 }
 
--- a/src/apps/hornbeamd.cpp
+++ b/src/apps/hornbeamd.cpp
@@ -24,7 +24,8 @@
     app.add_option("--settings", path, "JSON settings file");
     app.add_flag("--check-settings", checkOnly, "check the settings file, print every fault, and exit");
     app.add_flag("--print-defaults", printDefaults, "print the settings with their defaults, and exit");
-    app.footer("Example:\n  hornbeamd --settings /etc/hornbeamrouter/hornbeamd.json\nExit codes: 0 planned stop or good settings, 1 failed, 2 bad settings or usage.");
+    app.footer(
+        "Example:\n  hornbeamd --settings /etc/hornbeamrouter/hornbeamd.json\nExit codes: 0 planned stop or good settings, 1 failed, 2 bad settings or usage.");
     try {
         app.parse(argc, argv);
     } catch (const CLI::ParseError &error) {
--- a/src/apps/servicesockets.cpp
+++ b/src/apps/servicesockets.cpp
@@ -6,10 +6,7 @@
 namespace hornbeam {
 
 ServiceSockets::ServiceSockets(boost::asio::io_context &context, uint32_t address, size_t workers, CallerPacketHandler handler)
-    : context(context)
-    , address(address)
-    , workers(workers)
-    , handler(std::move(handler))
+    : context(context), address(address), workers(workers), handler(std::move(handler))
 {
 }
 
@@ -37,7 +34,7 @@
     Service service;
     service.port = table.port;
     for (size_t i = 0; i < this->workers; ++i) {
-        auto socket = std::make_unique<UdpSocket>(this->context, Endpoint{this->address, table.port}, true);
+        auto socket = std::make_unique<UdpSocket>(this->context, Endpoint{ this->address, table.port }, true);
         if (!socket->error().empty()) {
             return "service=" + table.name + " " + socket->error();
         }
--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -8,7 +8,7 @@
 
 std::string_view nameOf(MemberState state)
 {
-    constexpr std::string_view names[] = {"alive", "suspect", "leaving", "left", "dead"};
+    constexpr std::string_view names[] = { "alive", "suspect", "leaving", "left", "dead" };
     return names[static_cast<size_t>(state)];
 }
 
@@ -75,7 +75,7 @@
 TableAgreement Membership::tableAgreement() const
 {
     const std::lock_guard lock(this->mutex);
-    TableAgreement agreement{1, 1, {}};
+    TableAgreement agreement{ 1, 1, {} };
     for (const MemberRecord &member : this->view.load()->records()) {
         if (member.zone != this->own.zone || member.id == this->own.id || !isLive(member.state)) {
             continue;
--- a/src/membership/membership.h
+++ b/src/membership/membership.h
@@ -168,8 +168,8 @@
     uint64_t tableDigest = 0;
     std::set<MemberId> tableDiffering;
     std::map<MemberId, uint64_t> heardDigests; // the hash that each member of the own zone last told
-    bool changed = true;   // the view has to be built anew
-    bool isListed = false; // a list of the own zone has arrived
+    bool changed = true;                       // the view has to be built anew
+    bool isListed = false;                     // a list of the own zone has arrived
     std::vector<ZoneId> reachable;
 
     uint64_t nextSequence = 1;
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -8,7 +8,7 @@
 
 namespace {
 
-constexpr std::array<std::string_view, 4> stateNames{"serving", "draining", "handing_over", "drained"};
+constexpr std::array<std::string_view, 4> stateNames{ "serving", "draining", "handing_over", "drained" };
 
 // a message to this instance may lead to another one; a request and its grant take two rounds
 constexpr int maxOwnRounds = 16;
@@ -25,10 +25,10 @@
 {
     uint64_t number = 0;
     if (message.code == static_cast<uint8_t>(CoapCode::Empty)) {
-        constexpr std::array<TokenKind, 4> partsById{TokenKind::Request, TokenKind::Feed, TokenKind::Probe, TokenKind::Feed};
+        constexpr std::array<TokenKind, 4> partsById{ TokenKind::Request, TokenKind::Feed, TokenKind::Probe, TokenKind::Feed };
         return partsById.at(message.messageId >> 14U);
     }
-    for (const TokenKind kind : {TokenKind::Request, TokenKind::Probe}) {
+    for (const TokenKind kind : { TokenKind::Request, TokenKind::Probe }) {
         if (readToken(message.token, kind, number)) {
             return kind;
         }
@@ -125,7 +125,8 @@
     std::visit(
         [this, &out](const auto &typed) {
             using Typed = std::decay_t<decltype(typed)>;
-            if constexpr (std::is_same_v<Typed, Ping> || std::is_same_v<Typed, PingAck> || std::is_same_v<Typed, PingRequest> || std::is_same_v<Typed, ZoneDigest>) {
+            if constexpr (std::is_same_v<Typed,
+                                         Ping> || std::is_same_v<Typed, PingAck> || std::is_same_v<Typed, PingRequest> || std::is_same_v<Typed, ZoneDigest>) {
                 this->membership.onMessage(typed, out);
             } else if constexpr (std::is_same_v<Typed, SlotAsk>) {
                 this->keeper.onSlotAsk(typed, out);
@@ -157,7 +158,7 @@
 {
     for (int round = 0; round < maxOwnRounds; ++round) {
         std::vector<MessageOut> own;
-        for (auto *queue : {&out.toPeers, &out.toStreams}) {
+        for (auto *queue : { &out.toPeers, &out.toStreams }) {
             const auto isOwn = [this](const MessageOut &message) { return message.peer == this->self; };
             for (MessageOut &message : *queue) {
                 if (isOwn(message)) {
@@ -181,7 +182,7 @@
 {
     const ApplyResult result = this->tableStore.apply(service, version, text);
     if (result == ApplyResult::Applied) {
-        this->sync.onLocalChange({serviceIdOf(service)}, out);
+        this->sync.onLocalChange({ serviceIdOf(service) }, out);
         this->deliverOwn(out);
     }
     return result;
@@ -267,10 +268,11 @@
             + std::string(nameOf(member.state)) + " incarnation=" + std::to_string(member.incarnation) + " revision=" + std::to_string(member.revision) + "\n";
     }
     for (const TableState &table : this->tableStore.states()) {
-        text += "table service=" + table.service + " version=" + std::to_string(table.version) + " since_ms=" + std::to_string(table.sinceMs) + " refused_version="
-            + std::to_string(table.refusedVersion) + "\n";
+        text += "table service=" + table.service + " version=" + std::to_string(table.version) + " since_ms=" + std::to_string(table.sinceMs)
+            + " refused_version=" + std::to_string(table.refusedVersion) + "\n";
     }
-    text += "requests in_progress=" + std::to_string(this->requestEngine.inProgress()) + " record_bytes=" + std::to_string(this->requestEngine.recordBytes()) + "\n";
+    text += "requests in_progress=" + std::to_string(this->requestEngine.inProgress()) + " record_bytes=" + std::to_string(this->requestEngine.recordBytes())
+        + "\n";
     text += "feeds open=" + std::to_string(this->feedEngine.open()) + "\n";
     return text + this->keeper.dump() + this->feedEngine.dump();
 }
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -29,15 +29,15 @@
     SlotClientSettings slotClient;
     RequestSettings requests;
     FeedSettings feeds;
-    Duration drainLimit = seconds(30);        // time that a planned stop waits for requests in progress and for feeds to move, s
+    Duration drainLimit = seconds(30);          // time that a planned stop waits for requests in progress and for feeds to move, s
     Duration recordsLinger = milliseconds(500); // time that the record handover has before the instance leaves, ms
 };
 
 enum class NodeState : uint8_t {
     Serving,
-    Draining,     // waits for requests in progress and for feeds to move
-    HandingOver,  // has passed its records on
-    Drained,      // may exit
+    Draining,    // waits for requests in progress and for feeds to move
+    HandingOver, // has passed its records on
+    Drained,     // may exit
 };
 
 std::string_view nameOf(NodeState state);
@@ -115,8 +115,8 @@
     Keeper keeper;
     RequestEngine requestEngine;
     FeedEngine feedEngine;
-    std::atomic<uint64_t> toldDigest{0};
-    std::atomic<NodeState> drainState{NodeState::Serving};
+    std::atomic<uint64_t> toldDigest{ 0 };
+    std::atomic<NodeState> drainState{ NodeState::Serving };
     TimePoint drainStartedAt;
     TimePoint handedOverAt;
 };
--- a/src/transport/metricsserver.cpp
+++ b/src/transport/metricsserver.cpp
@@ -24,9 +24,7 @@
 class PageSession : public std::enable_shared_from_this<PageSession>
 {
 public:
-    PageSession(tcp::socket socket, std::shared_ptr<const Pages> pages)
-        : stream(std::move(socket))
-        , pages(std::move(pages))
+    PageSession(tcp::socket socket, std::shared_ptr<const Pages> pages) : stream(std::move(socket)), pages(std::move(pages))
     {
         this->parser.body_limit(requestLimitBytes);
     }
@@ -75,9 +73,7 @@
 class MetricsServer::Impl : public std::enable_shared_from_this<MetricsServer::Impl>
 {
 public:
-    explicit Impl(boost::asio::io_context &context)
-        : context(context)
-        , acceptor(context)
+    explicit Impl(boost::asio::io_context &context) : context(context), acceptor(context)
     {
     }
 
@@ -102,15 +98,16 @@
 
     void accept()
     {
-        this->acceptor.async_accept(boost::asio::make_strand(this->context), [self = this->shared_from_this()](const beast::error_code &failure, tcp::socket socket) {
-            if (failure == boost::asio::error::operation_aborted) {
-                return;
-            }
-            if (!failure) {
-                std::make_shared<PageSession>(std::move(socket), self->pages)->begin();
-            }
-            self->accept();
-        });
+        this->acceptor.async_accept(boost::asio::make_strand(this->context),
+                                    [self = this->shared_from_this()](const beast::error_code &failure, tcp::socket socket) {
+                                        if (failure == boost::asio::error::operation_aborted) {
+                                            return;
+                                        }
+                                        if (!failure) {
+                                            std::make_shared<PageSession>(std::move(socket), self->pages)->begin();
+                                        }
+                                        self->accept();
+                                    });
     }
 
     boost::asio::io_context &context;
@@ -119,8 +116,7 @@
     std::shared_ptr<Pages> pages = std::make_shared<Pages>();
 };
 
-MetricsServer::MetricsServer(boost::asio::io_context &context, const Endpoint &local)
-    : impl(std::make_shared<Impl>(context))
+MetricsServer::MetricsServer(boost::asio::io_context &context, const Endpoint &local) : impl(std::make_shared<Impl>(context))
 {
     this->impl->open(local);
 }
--- a/standins/targetmodel.cpp
+++ b/standins/targetmodel.cpp
@@ -24,10 +24,7 @@
 } // namespace
 
 TargetModel::TargetModel(TargetOptions options, const Clock &clock, TargetPort &port)
-    : options(std::move(options))
-    , clock(clock)
-    , port(port)
-    , started(clock.now())
+    : options(std::move(options)), clock(clock), port(port), started(clock.now())
 {
 }
 
@@ -246,7 +243,7 @@
         observer.lastMessageId = this->nextMessageId++;
         const std::vector<CoapOption> options{ { optionObserve, optionValue(observer.sequence++) }, { optionMaxAge, optionValue(maxAgeSeconds) } };
         this->port.send(observer.source,
-                          buildCoap(CoapType::NonConfirmable, CoapCode::Content, observer.lastMessageId, observer.token, options, this->boardState()));
+                        buildCoap(CoapType::NonConfirmable, CoapCode::Content, observer.lastMessageId, observer.token, options, this->boardState()));
     }
     this->port.runAfter(milliseconds(this->options.publishMs), [this] { this->publish(); });
 }
--- a/standins/targetserver.cpp
+++ b/standins/targetserver.cpp
@@ -11,9 +11,7 @@
 } // namespace
 
 TargetServer::TargetServer(boost::asio::io_context &context, const TargetOptions &options)
-    : context(context)
-    , socket(context, options.listen, false)
-    , model(options, this->clock, *this)
+    : context(context), socket(context, options.listen, false), model(options, this->clock, *this)
 {
 }
 
--- a/tests/fakedirectory.h
+++ b/tests/fakedirectory.h
@@ -7,6 +7,7 @@
 #include <algorithm>
 
 namespace hornbeam {
+inline namespace table_fakes {
 
 class FakeDirectory final : public MemberDirectory
 {
@@ -58,4 +59,5 @@
     }
 };
 
+} // namespace table_fakes
 } // namespace hornbeam
--- a/tests/fakes.h
+++ b/tests/fakes.h
@@ -9,6 +9,7 @@
 #include <map>
 
 namespace hornbeam {
+inline namespace request_fakes {
 
 /** Members as a test sets them; owners are the eligible members in the order of their identifiers. */
 class FakeDirectory final : public MemberDirectory
@@ -109,4 +110,5 @@
     }
 };
 
+} // namespace request_fakes
 } // namespace hornbeam
--- a/tests/feedfakes.h
+++ b/tests/feedfakes.h
@@ -12,6 +12,7 @@
 #include <set>
 
 namespace hornbeam {
+inline namespace feed_fakes {
 
 constexpr ZoneId feedZone = 1;
 const ServiceId board = serviceIdOf("booking");
@@ -400,4 +401,5 @@
     }
 };
 
+} // namespace feed_fakes
 } // namespace hornbeam
--- a/tests/requestbench.h
+++ b/tests/requestbench.h
@@ -9,6 +9,7 @@
 #include <string>
 
 namespace hornbeam {
+inline namespace request_fakes {
 
 struct RequestBench
 {
@@ -121,4 +122,5 @@
     }
 };
 
+} // namespace request_fakes
 } // namespace hornbeam
--- a/tests/slotfakes.h
+++ b/tests/slotfakes.h
@@ -9,6 +9,7 @@
 #include <deque>
 
 namespace hornbeam {
+inline namespace slot_fakes {
 
 constexpr ServiceId fakeService = 7;
 
@@ -293,4 +294,5 @@
     std::deque<PacketOut> probes;
 };
 
+} // namespace slot_fakes
 } // namespace hornbeam
