--- a/src/core/types.h
+++ b/src/core/types.h
@@ -39,7 +39,11 @@
     uint32_t address = 0;
     uint16_t port = 0;
 
-    auto operator<=>(const Endpoint &) const = default;
+    bool operator==(const Endpoint &) const = default;
+    bool operator<(const Endpoint &other) const
+    {
+        return this->key() < other.key();
+    }
     /** The address and the port in one number, unique for each endpoint. */
     uint64_t key() const
     {
