Refusals of idempotent requests never claim 'not run'

Cause: a GET, PUT or DELETE is served where it lands, and the caller's retransmission or the fabric's copy may land elsewhere and run there, while this instance refuses its own copy. GET still claimed 'not_run'. Now only a POST, which runs at its maker alone, is ever refused as 'not_run'.

--- a/src/requests/exchanges.cpp
+++ b/src/requests/exchanges.cpp
@@ -15,10 +15,8 @@
 /** What can honestly be said of a request that is refused for `reason`. */
 Verdict statedVerdict(const Request &request, Reason reason)
 {
-    // only a GET changes nothing and only a POST runs nowhere else; a copy of another request may have run at another instance
-    const bool isGet = request.content.front() == static_cast<uint8_t>(CoapCode::Get);
-    const bool mayRunElsewhere = request.isIdempotent && !isGet;
-    return mayRunElsewhere ? Verdict::MayHaveRun : verdictOf(reason);
+    // only a POST runs nowhere else: a copy of an idempotent request may have run from another instance
+    return request.isIdempotent ? Verdict::MayHaveRun : verdictOf(reason);
 }
 
 CallerKey keyOf(const CallerExchange &exchange)
--- a/src/requests/requestengine.cpp
+++ b/src/requests/requestengine.cpp
@@ -84,9 +84,7 @@
     }
     const Reason fault = this->admissionFault(origin.service, message);
     if (fault != Reason::None) {
-        // a copy of the packet may have reached another instance and changed something there
-        const bool isSafe = message.code == static_cast<uint8_t>(CoapCode::Get);
-        this->refuseUnstarted(exchange, isSafe ? Verdict::NotRun : Verdict::MayHaveRun, fault, out);
+        this->refuseUnstarted(exchange, Verdict::MayHaveRun, fault, out); // a copy of the packet may have run from another instance
         return;
     }
     this->beginRequest(shard, this->makeRequest(exchange, std::move(content), message), out);
