Planned stop: a tick can no longer see it half begun

Node::beginDrain set the state to draining before it noted when the stop began. The daemon's tick runs on another worker: between the two it saw a stop that seemed over its limit, handed the records over and refused what was queued. The state is set last now, and the time before it. Ruled out: a mutex around both, since the engines would be called with it held. The story of the tick in between failed on the code before (handing_over instead of draining), with a clock that ticks when it is read. A second story drives three nodes from six threads over a fake wire: reads, orders, feeds, edits, ticks and a planned stop. Node::tick says now that one thread at a time may call it, as the request engine's does.

--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -221,8 +221,7 @@
 
 void Node::beginDrain(Actions &out)
 {
-    NodeState expected = NodeState::Serving;
-    if (!this->drainState.compare_exchange_strong(expected, NodeState::Draining)) {
+    if (this->isDrainBegun.exchange(true)) {
         return;
     }
     this->drainStartedAt = this->clock.now();
@@ -230,6 +229,7 @@
     this->membership.beginLeave(out);
     this->requestEngine.beginDrain(out);
     this->feedEngine.beginDrain(out);
+    this->drainState = NodeState::Draining; // last: a tick of another thread goes by what is set above
     this->deliverOwn(out);
 }
 
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -42,7 +42,7 @@
 
 std::string_view nameOf(NodeState state);
 
-/** All methods are thread safe. Actions are to be carried out by the caller after the method returns. */
+/** Thread safe but for tick(), which one thread at a time may call. Actions are to be carried out by the caller after the method returns. */
 class Node
 {
 public:
@@ -69,7 +69,7 @@
 
     //--- Time
 
-    /** Runs all timers. To be called every 20 ms or so. */
+    /** Runs all timers. To be called every 20 ms or so. Precondition: no other thread is in it. */
     void tick(Actions &out);
 
     //--- Planned stop
@@ -116,9 +116,10 @@
     RequestEngine requestEngine;
     FeedEngine feedEngine;
     std::atomic<uint64_t> toldDigest{ 0 };
+    std::atomic<bool> isDrainBegun{ false };
     std::atomic<NodeState> drainState{ NodeState::Serving };
-    TimePoint drainStartedAt;
-    TimePoint handedOverAt;
+    TimePoint drainStartedAt; // written before drainState leaves Serving, read by the tick after it
+    TimePoint handedOverAt;   // only the tick reads and writes it
 };
 
 } // namespace hornbeam
--- /dev/null
+++ b/tests/node_test.cpp
@@ -0,0 +1,380 @@
+// A zone of whole nodes over a fake wire, driven by several threads at once. Sections: the zone | stories
+
+#include "core/upstreamtoken.h"
+#include "node/node.h"
+
+#include <barrier>
+#include <catch2/catch.hpp>
+#include <deque>
+#include <functional>
+#include <map>
+#include <set>
+#include <thread>
+#include <utility>
+
+using namespace hornbeam;
+
+//--- The zone
+
+namespace {
+
+const ServiceId board = serviceIdOf("booking");
+const ZoneId zone = zoneIdOf("kl-1");
+constexpr size_t nodeCount = 3;
+constexpr size_t leaver = 2;
+
+std::string tableText(unsigned weight)
+{
+    std::string rows;
+    for (int i = 1; i <= 3; ++i) {
+        rows += std::string(i > 1 ? "," : "") + R"({"target":"t)" + std::to_string(i) + R"(","address":"127.0.9.)" + std::to_string(i)
+            + R"(:7001","zone":"kl-1","slots":64,"weight":)" + std::to_string(weight) + "}";
+    }
+    return R"({"service":"booking","port":5683,"targets":[)" + rows + "]}";
+}
+
+/** Something on the wire: a packet of a target, or a peer's message. */
+struct Delivery
+{
+    size_t to = 0;
+    Endpoint target;
+    Bytes packet; // empty for a message
+    PeerMessage message;
+};
+
+struct Observer
+{
+    size_t node = 0;
+    Endpoint target;
+    Bytes token;
+    auto operator<=>(const Observer &) const = default;
+};
+
+/** Thread safe but for the clock, which stands still while threads run. */
+class Zone
+{
+public:
+    ManualClock clock;
+    std::array<Counters, nodeCount> counters;
+    std::vector<std::unique_ptr<Node>> nodes;
+    std::atomic<bool> leaverGone{ false };
+
+    std::mutex mutex; // guards what follows
+    std::deque<Delivery> wire;
+    std::deque<std::pair<Endpoint, Bytes>> echoed;  // POSTs that got an Echo value
+    std::map<uint16_t, std::vector<uint8_t>> codes; // answers to a message ID, without challenges
+    std::map<std::string, int> runs;                // of POSTs, by payload
+    std::map<Bytes, std::string> states;            // of feeds, by token
+    std::set<Observer> observers;
+    uint32_t sequence = 1;
+    std::string state = "first";
+
+    Zone()
+    {
+        for (size_t i = 0; i < nodeCount; ++i) {
+            const MemberRecord self{ i + 1, zone, Endpoint{ 0x7F000001, static_cast<uint16_t>(9000 + i) }, clock.wallMillis(), 0, MemberState::Alive };
+            nodes.push_back(std::make_unique<Node>(NodeSettings{}, self, std::vector<Bytes>{ Bytes(32, 3) }, clock, counters[i], i));
+            for (size_t other = 0; other < nodeCount; ++other) {
+                nodes[i]->addSeed(other + 1, zone, Endpoint{ 0x7F000001, static_cast<uint16_t>(9000 + other) });
+            }
+        }
+    }
+    void fromCaller(size_t node, const Endpoint &caller, const Bytes &packet)
+    {
+        Actions out;
+        nodes[node]->onCallerPacket(board, caller, packet.data(), packet.size(), out);
+        carry(node, out);
+    }
+    void carry(size_t node, const Actions &out)
+    {
+        for (const PacketOut &packet : out.toTargets) {
+            onTarget(node, packet);
+        }
+        for (const PacketOut &packet : out.toCallers) {
+            onCaller(packet);
+        }
+        for (const auto *queue : { &out.toPeers, &out.toStreams }) {
+            for (const MessageOut &message : *queue) {
+                const auto peer = nodes[node]->endpointOf(message.peer);
+                if (peer.has_value() && peer->port < 9000U + nodeCount) { // the list names one that never answers
+                    const std::lock_guard lock(mutex);
+                    wire.push_back({ peer->port - 9000U, {}, {}, message.message });
+                }
+            }
+        }
+    }
+    void onTarget(size_t node, const PacketOut &sent)
+    {
+        uint64_t number = 0;
+        const auto message = parseCoap(sent.packet);
+        if (!message->isRequest()) {
+            return;
+        }
+        const std::lock_guard lock(mutex);
+        std::vector<CoapOption> options;
+        std::string payload = readToken(message->token, TokenKind::Probe, number) ? R"({"load":0,"busy":0})" : state;
+        const Observer observer{ node, sent.endpoint, message->token };
+        observers.erase(observer);
+        if (message->observe == 0U) {
+            observers.insert(observer);
+            options.push_back({ optionObserve, optionValue(sequence) });
+        }
+        if (message->code == static_cast<uint8_t>(CoapCode::Post)) {
+            const std::string text(sent.packet.begin(), sent.packet.end());
+            ++runs[text.substr(text.rfind('\xFF') + 1)];
+        }
+        wire.push_back(
+            { node, sent.endpoint, buildCoap(CoapType::Acknowledgement, CoapCode::Content, message->messageId, message->token, options, payload), {} });
+    }
+    void onCaller(const PacketOut &sent)
+    {
+        const auto message = parseCoap(sent.packet);
+        const std::lock_guard lock(mutex);
+        if (!message->echo.empty()) {
+            const std::string body = std::to_string(message->messageId);
+            echoed.emplace_back(sent.endpoint,
+                                buildCoap(CoapType::Confirmable, CoapCode::Post, message->messageId, message->token, { { optionEcho, message->echo } }, body));
+            return;
+        }
+        if (message->observe.has_value()) {
+            const std::string text(sent.packet.begin(), sent.packet.end());
+            states[message->token] = text.substr(text.rfind('\xFF') + 1);
+        }
+        if (message->type == CoapType::Acknowledgement) {
+            codes[message->messageId].push_back(message->code);
+        }
+    }
+    /** The targets send a new state to all who observe it. */
+    void publish(const std::string &text)
+    {
+        const std::lock_guard lock(mutex);
+        state = text;
+        ++sequence;
+        for (const Observer &each : observers) {
+            const auto id = static_cast<uint16_t>(sequence);
+            wire.push_back({ each.node,
+                             each.target,
+                             buildCoap(CoapType::NonConfirmable, CoapCode::Content, id, each.token, { { optionObserve, optionValue(sequence) } }, text),
+                             {} });
+        }
+    }
+    /** Delivers what is on the wire, and what comes of it, up to a bound. */
+    void deliver()
+    {
+        for (int i = 0; i < 2000; ++i) {
+            Delivery next;
+            {
+                const std::lock_guard lock(mutex);
+                if (wire.empty()) {
+                    return;
+                }
+                next = std::move(wire.front());
+                wire.pop_front();
+            }
+            Actions out;
+            if (next.to == leaver && leaverGone) {
+                continue;
+            }
+            if (next.packet.empty()) {
+                nodes[next.to]->onPeerMessage(next.message, out);
+            } else {
+                nodes[next.to]->onTargetPacket(next.target, next.packet.data(), next.packet.size(), out);
+            }
+            carry(next.to, out);
+        }
+    }
+    void tick()
+    {
+        for (size_t node = 0; node < nodeCount; ++node) {
+            if (node == leaver && leaverGone) {
+                continue;
+            }
+            Actions out;
+            nodes[node]->tick(out);
+            if (nodes[node]->state() == NodeState::Drained) {
+                nodes[node]->endDrain(out);
+                leaverGone = true;
+            }
+            carry(node, out);
+        }
+    }
+    void run(int rounds)
+    {
+        for (int i = 0; i < rounds; ++i) {
+            clock.advance(milliseconds(20));
+            tick();
+            deliver();
+        }
+    }
+};
+
+/** Lets a test do what another thread might do at the moment when the clock is read. */
+class ClockWithHook final : public Clock
+{
+public:
+    ManualClock clock;
+    mutable std::function<void()> onNextRead;
+
+    TimePoint now() const override
+    {
+        if (onNextRead) {
+            std::exchange(onNextRead, {})();
+        }
+        return clock.now();
+    }
+    uint64_t wallMillis() const override
+    {
+        return clock.wallMillis();
+    }
+};
+
+constexpr int loadRounds = 200;
+constexpr int drainRound = 60;
+constexpr int tableRounds = 10; // between two edits
+
+/** The callers of one thread: reads, orders, and feeds opened in the first rounds. */
+void runCallers(Zone &all, uint16_t thread, int round)
+{
+    const bool isLeaverUsed = round < drainRound + 10; // the fabric learns of it late
+    const size_t node = static_cast<size_t>(round + thread) % (isLeaverUsed ? nodeCount : leaver);
+    const auto id = static_cast<uint16_t>(thread * 10000 + round * 4);
+    const Endpoint caller{ 0x0A000001U + thread, static_cast<uint16_t>(1000 + round) };
+    const Bytes token{ static_cast<uint8_t>(thread), static_cast<uint8_t>(round), 1 };
+    const CoapOption path{ optionUriPath, optionValue("slots") };
+    all.fromCaller(node, caller, buildCoap(CoapType::Confirmable, CoapCode::Get, id, token, { path }, ""));
+    all.fromCaller(node, caller, buildCoap(CoapType::Confirmable, CoapCode::Post, id + 1, Bytes{ 2 }, {}, std::to_string(id + 1)));
+    if (round < 20) {
+        const Bytes feed{ static_cast<uint8_t>(thread), static_cast<uint8_t>(round), 3 };
+        all.fromCaller(node, caller, buildCoap(CoapType::Confirmable, CoapCode::Get, id + 2, feed, { { optionObserve, {} }, path }, ""));
+    }
+    std::deque<std::pair<Endpoint, Bytes>> orders;
+    {
+        const std::lock_guard lock(all.mutex);
+        std::swap(orders, all.echoed);
+    }
+    for (const auto &[from, packet] : orders) {
+        all.fromCaller(node, from, packet);
+    }
+}
+
+/** Edits, the list of instances, and the pages that operators read. */
+void runOperator(Zone &all, int round)
+{
+    const size_t node = static_cast<size_t>(round) % leaver;
+    if (round % tableRounds == 0) {
+        Actions out;
+        all.nodes[node]->onTable("booking", static_cast<TableVersion>(2 + round / tableRounds), tableText(50U + static_cast<unsigned>(round)), out);
+        all.carry(node, out);
+    }
+    all.nodes[node]->addSeed(4, zone, Endpoint{ 0x7F000001, 9003 });
+    CHECK(all.nodes[leaver]->dump().find("requests in_progress") != std::string::npos);
+    CHECK(all.nodes[node]->tableAgreement().members >= 1);
+    if (round == drainRound) {
+        Actions out;
+        all.nodes[leaver]->beginDrain(out);
+        all.carry(leaver, out);
+    }
+}
+
+} // namespace
+
+//--- Stories
+
+TEST_CASE("many threads drive the nodes of a zone at once")
+{
+    Zone all;
+    Actions out;
+    all.nodes[0]->onTable("booking", 1, tableText(100), out);
+    all.carry(0, out);
+    all.run(150);
+    REQUIRE(all.nodes[leaver]->tables().find(board) != nullptr);
+
+    std::barrier rounds(6, [&all]() noexcept { all.clock.advance(milliseconds(20)); });
+    const auto inRounds = [&rounds](const std::function<void(int)> &work) {
+        for (int round = 0; round < loadRounds; ++round) {
+            work(round);
+            rounds.arrive_and_wait();
+        }
+    };
+    std::vector<std::thread> threads;
+    for (const uint16_t thread : { 1, 2 }) {
+        threads.emplace_back([&, thread] { inRounds([&](int round) { runCallers(all, thread, round); }); });
+        threads.emplace_back([&] { inRounds([&](int) { all.deliver(); }); });
+    }
+    threads.emplace_back([&] {
+        inRounds([&](int round) {
+            all.tick();
+            all.publish(std::to_string(round));
+        });
+    });
+    inRounds([&](int round) { runOperator(all, round); });
+    for (std::thread &thread : threads) {
+        thread.join();
+    }
+    all.deliver();
+    for (int thread = 1; thread <= 2; ++thread) { // orders whose Echo value came in the last round
+        runCallers(all, static_cast<uint16_t>(thread), loadRounds);
+    }
+    all.run(100);
+    all.publish("last");
+    all.run(100);
+
+    SECTION("each read has one answer with the content")
+    {
+        for (int thread = 1; thread <= 2; ++thread) {
+            for (int round = 0; round < loadRounds; ++round) {
+                CAPTURE(thread, round);
+                CHECK(all.codes[static_cast<uint16_t>(thread * 10000 + round * 4)] == std::vector<uint8_t>{ static_cast<uint8_t>(CoapCode::Content) });
+            }
+        }
+    }
+    SECTION("each order ran once and was answered")
+    {
+        for (int thread = 1; thread <= 2; ++thread) {
+            for (int round = 0; round < loadRounds; ++round) {
+                const auto id = static_cast<uint16_t>(thread * 10000 + round * 4 + 1);
+                CAPTURE(thread, round);
+                CHECK(all.runs[std::to_string(id)] == 1);
+                CHECK(all.codes[id] == std::vector<uint8_t>{ static_cast<uint8_t>(CoapCode::Content) });
+            }
+        }
+    }
+    SECTION("each feed shows the last state, and is open at one node")
+    {
+        CHECK(all.states.size() == 40);
+        for (const auto &[token, state] : all.states) {
+            CHECK(state == "last");
+        }
+        CHECK(all.nodes[0]->feeds().open() + all.nodes[1]->feeds().open() == 40);
+        CHECK(all.observers.size() == 40);
+    }
+    SECTION("the last edit is in force, and the leaving node is drained")
+    {
+        for (size_t node = 0; node < leaver; ++node) {
+            CHECK(all.nodes[node]->tables().find(board)->version == 1 + loadRounds / tableRounds);
+        }
+        CHECK(all.leaverGone);
+        CHECK(all.nodes[leaver]->requests().inProgress() == 0);
+        CHECK(all.nodes[leaver]->feeds().open() == 0);
+    }
+}
+
+TEST_CASE("a tick in the middle of the begin of a planned stop does not cut the stop short")
+{
+    ClockWithHook clock;
+    Counters counters;
+    const MemberRecord self{ 1, zone, Endpoint{ 0x7F000001, 9000 }, 1, 0, MemberState::Alive };
+    Node node(NodeSettings{}, self, { Bytes(32, 3) }, clock, counters, 1);
+    Actions out;
+    node.onTable("booking", 1, tableText(100), out);
+    const Bytes packet = buildCoap(CoapType::Confirmable, CoapCode::Get, 1, { 1 }, {}, "");
+    node.onCallerPacket(board, Endpoint{ 0x0A000001, 1000 }, packet.data(), packet.size(), out);
+    REQUIRE(node.requests().inProgress() == 1);
+
+    clock.onNextRead = [&] { node.tick(out); };
+    node.beginDrain(out);
+    CHECK(node.state() == NodeState::Draining);
+    node.tick(out);
+    CHECK(node.state() == NodeState::Draining);
+    CHECK(node.requests().inProgress() == 1);
+}
