Membership: the view behind a small mutex

The thread sanitizer reported the story of many threads once: std::atomic<std::shared_ptr> of libstdc++ 12 releases its lock bit in load() with relaxed order, so a store that follows isn't ordered after the read of the pointer. Harmless on x86, and a fault by the memory model. The mutex is held only to copy or replace the pointer, as the lock bit was. A loop over the records of a temporary now keeps the view.

--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -76,7 +76,8 @@
 {
     const std::lock_guard lock(this->mutex);
     TableAgreement agreement{ 1, 1, {} };
-    for (const MemberRecord &member : this->view.load()->records()) {
+    const std::shared_ptr<const MemberView> known = this->currentView();
+    for (const MemberRecord &member : known->records()) {
         if (member.zone != this->own.zone || member.id == this->own.id || !isLive(member.state)) {
             continue;
         }
@@ -99,44 +100,50 @@
     return members;
 }
 
+std::shared_ptr<const MemberView> Membership::currentView() const
+{
+    const std::lock_guard lock(this->viewMutex);
+    return this->view;
+}
+
 std::vector<MemberRecord> Membership::members() const
 {
-    return this->view.load()->records();
+    return this->currentView()->records();
 }
 
 MemberRecord Membership::self() const
 {
-    return this->view.load()->self();
+    return this->currentView()->self();
 }
 
 std::optional<MemberRecord> Membership::find(MemberId member) const
 {
-    return this->view.load()->find(member);
+    return this->currentView()->find(member);
 }
 
 std::vector<MemberRecord> Membership::eligibleIn(ZoneId zone) const
 {
-    return this->view.load()->eligibleIn(zone);
+    return this->currentView()->eligibleIn(zone);
 }
 
 std::vector<ZoneId> Membership::reachableZones() const
 {
-    return this->view.load()->reachableZones();
+    return this->currentView()->reachableZones();
 }
 
 MemberId Membership::ownerIn(ZoneId zone, uint64_t key, size_t rank) const
 {
-    return this->view.load()->ownerIn(zone, key, rank);
+    return this->currentView()->ownerIn(zone, key, rank);
 }
 
 MemberId Membership::flowOwner(uint64_t flow) const
 {
-    return this->view.load()->flowOwner(flow);
+    return this->currentView()->flowOwner(flow);
 }
 
 uint64_t Membership::viewVersion() const
 {
-    return this->view.load()->version();
+    return this->currentView()->version();
 }
 
 void Membership::publish()
@@ -156,9 +163,11 @@
     if (records.empty() || records.back().id < this->own.id) {
         records.push_back(this->own);
     }
-    const auto before = this->view.load();
+    const auto before = this->currentView();
     const uint64_t version = before == nullptr ? 1 : before->version() + 1;
-    this->view.store(std::make_shared<const MemberView>(this->own, std::move(records), heard, version));
+    auto next = std::make_shared<const MemberView>(this->own, std::move(records), heard, version);
+    const std::lock_guard lock(this->viewMutex);
+    this->view = std::move(next);
     this->reachable = std::move(heard);
     this->changed = false;
 }
--- a/src/membership/membership.h
+++ b/src/membership/membership.h
@@ -20,7 +20,6 @@
 #include "peer/actions.h"
 #include "peer/directory.h"
 
-#include <atomic>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -154,6 +153,7 @@
     ZoneDigest makeDigest() const;
     uint64_t ownZoneHash() const;
     std::vector<MemberId> someOf(std::vector<MemberId> candidates, size_t most);
+    std::shared_ptr<const MemberView> currentView() const;
     void publish();
 
     MembershipSettings settings;
@@ -184,7 +184,8 @@
     size_t listsLeft = 0;                  // until the next digest interval
     std::map<ZoneId, TimePoint> listAsked; // when a zone was last asked for its list
 
-    std::atomic<std::shared_ptr<const MemberView>> view;
+    mutable std::mutex viewMutex; // guards `view`; taken last, and only to copy or replace the pointer
+    std::shared_ptr<const MemberView> view;
 };
 
 } // namespace hornbeam
