UDP sockets are closed on their own strand

A tick that removes a service closed its sockets while another worker could be reading from them: the descriptor may belong to another socket by then. The receive loop and the close now share a strand. Sending is as before: callers hold off removal by their own lock.

--- a/src/transport/udpsocket.cpp
+++ b/src/transport/udpsocket.cpp
@@ -3,6 +3,8 @@
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/udp.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/strand.hpp>
 #include <sys/socket.h>
 
 namespace hornbeam {
@@ -29,7 +31,7 @@
 class UdpSocket::Impl : public std::enable_shared_from_this<UdpSocket::Impl>
 {
 public:
-    explicit Impl(boost::asio::io_context &context) : socket(context)
+    explicit Impl(boost::asio::io_context &context) : socket(boost::asio::make_strand(context))
     {
     }
 
@@ -65,6 +67,15 @@
         });
     }
 
+    // on the strand, so that no other worker reads from the descriptor while it is closed
+    void close()
+    {
+        boost::asio::post(this->socket.get_executor(), [self = this->shared_from_this()] {
+            boost::system::error_code ignored;
+            self->socket.close(ignored);
+        });
+    }
+
     void drain()
     {
         for (int i = 0; i < packetsPerWakeup; ++i) {
@@ -116,8 +127,7 @@
 
 void UdpSocket::endReceive()
 {
-    boost::system::error_code ignored;
-    this->impl->socket.close(ignored);
+    this->impl->close();
 }
 
 bool UdpSocket::send(const Endpoint &to, const Bytes &packet)
--- a/src/transport/udpsocket.h
+++ b/src/transport/udpsocket.h
@@ -35,7 +35,7 @@
     Endpoint local() const;
     /** Starts to receive. Precondition: error() is empty; called once. */
     void beginReceive(DatagramHandler handler);
-    /** Stops to receive and closes the socket. */
+    /** Stops to receive and closes the socket, on a worker of the context. Thread safe, but nothing may be sent from then on. */
     void endReceive();
     /** Sends a datagram without waiting; one that doesn't fit the kernel's buffer is lost. Thread safe. Returns false when the kernel refused it. */
     bool send(const Endpoint &to, const Bytes &packet);
--- a/tests/udpsocket_test.cpp
+++ b/tests/udpsocket_test.cpp
@@ -1,7 +1,10 @@
 #include "transport/udpsocket.h"
 
+#include <atomic>
+#include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
 #include <catch2/catch.hpp>
+#include <thread>
 
 using namespace hornbeam;
 
@@ -27,6 +30,39 @@
     CHECK(source == sender.local());
 }
 
+TEST_CASE("a socket is closed while another worker receives from it")
+{
+    boost::asio::io_context context;
+    auto work = boost::asio::make_work_guard(context);
+    std::vector<std::thread> workers;
+    for (int i = 0; i < 2; ++i) {
+        workers.emplace_back([&context] { context.run(); });
+    }
+    UdpSocket sender(context, Endpoint{ 0x7F000001, 0 }, false);
+    std::atomic<size_t> received = 0;
+    constexpr size_t sockets = 20;
+    constexpr size_t packets = 50;
+    for (size_t i = 0; i < sockets; ++i) {
+        UdpSocket receiver(context, Endpoint{ 0x7F000001, 0 }, false);
+        receiver.beginReceive([&received](const Endpoint &, const uint8_t *, size_t) { ++received; });
+        const size_t before = received;
+        for (size_t sent = 0; sent < packets; ++sent) {
+            sender.send(receiver.local(), Bytes{ 1 });
+        }
+        const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(5);
+        while (received == before && std::chrono::steady_clock::now() < end) {
+            std::this_thread::yield();
+        }
+    }
+    sender.endReceive();
+    work.reset();
+    for (std::thread &worker : workers) {
+        worker.join(); // returns only when each receive loop has ended
+    }
+    CHECK(received >= sockets);
+    CHECK(received <= sockets * packets);
+}
+
 TEST_CASE("a socket that can't be bound says which address and why")
 {
     boost::asio::io_context context;
