Apps: platform loop, state log and counters' page in files of their own; added latency, gauges, key reload, size bound

KeyRing swaps a shared list, so workers take no lock of ours. - A caller's packet above 1280 bytes is refused at every instance by 4.13, so that relayed and sealed it fits one datagram. - ChildProcess::sendSignal after wait() would have gone to every process (id -1); now it is ignored. Ruled out: logging each suspicion (most are refuted; a counter has them).

--- a/src/apps/ctlcommands.cpp
+++ b/src/apps/ctlcommands.cpp
@@ -3,6 +3,7 @@
 #include "apps/ctlcommands.h"
 
 #include "apps/tablecells.h"
+#include "apps/tablediff.h"
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
--- a/src/apps/daemon.cpp
+++ b/src/apps/daemon.cpp
@@ -1,12 +1,14 @@
+// Sections: start | packets in | packets out | timers | keys | stop
+
 #include "daemon.h"
 
+#include "metricspage.h"
 #include "node/node.h"
 #include "peer/codec.h"
 #include "peer/seal.h"
-#include "platform/platformclient.h"
-#include "platform/statusreporter.h"
-#include "platform/tablewatcher.h"
+#include "platformloop.h"
 #include "servicesockets.h"
+#include "statelog.h"
 #include "transport/metricsserver.h"
 #include "transport/streams.h"
 
@@ -22,10 +24,8 @@
 namespace {
 
 constexpr milliseconds tickInterval(20);
-constexpr milliseconds platformInterval(200);
-constexpr seconds instancesInterval(5);
+constexpr seconds logInterval(1);
 constexpr milliseconds lastMessagesWait(100); // for the notice that this instance has left
-constexpr uint32_t anyAddress = 0;
 
 Endpoint peerEndpoint(const DaemonSettings &settings)
 {
@@ -76,10 +76,9 @@
         , signals(this->context, SIGTERM, SIGINT)
         , tickTimer(this->context)
         , exitTimer(this->context)
-        , platform(this->platformContext, this->counters, PlatformSettings{ settings.platform })
-        , tableWatcher(this->platform, this->clock, std::random_device()(), [this](const std::vector<PlatformObject> &objects) { this->onTables(objects); })
-        , statusReporter(this->platform, this->clock)
-        , platformTimer(this->platformContext)
+        , reloadSignal(this->context, SIGHUP)
+        , stateLog(this->node, this->counters)
+        , platform(this->settings, this->node, this->clock, this->counters, [this](const Actions &actions) { this->perform(actions); })
     {
     }
 
@@ -94,15 +93,15 @@
         LOG(INFO) << "state=serving instance=" << this->settings.name << " zone=" << this->settings.zone << " peer=" << toString(peerEndpoint(this->settings))
                   << " workers=" << this->settings.workers;
         this->awaitSignal();
+        this->awaitReload();
         this->tick();
-        this->tickPlatform();
         std::vector<std::thread> threads;
         for (size_t i = 1; i < this->settings.workers; ++i) {
             threads.emplace_back([this] { this->context.run(); });
         }
-        threads.emplace_back([this] { this->platformContext.run(); });
+        threads.emplace_back([this] { this->platform.run(); });
         this->context.run();
-        this->platformContext.stop();
+        this->platform.stop();
         for (std::thread &thread : threads) {
             thread.join();
         }
@@ -133,7 +132,7 @@
             socket->beginReceive([this](const Endpoint &from, const uint8_t *data, size_t size) { this->onTargetPacket(from, data, size); });
         }
         this->streamServer.beginAccept();
-        this->metrics.addPage("/metrics", [this] { return this->metricsText(); });
+        this->metrics.addPage("/metrics", [this] { return metricsPage(this->node, this->counters, this->platform.isReachable()); });
         this->metrics.addPage("/state", [this] { return this->node.dump(); });
         this->metrics.beginAccept();
         return true;
@@ -230,6 +229,10 @@
         this->node.tick(out);
         this->perform(out);
         this->updateServices();
+        if (this->clock.now() >= this->nextLog) {
+            this->nextLog = this->clock.now() + logInterval;
+            this->stateLog.update(this->platform.isReachable());
+        }
         if (this->node.state() == NodeState::Drained) {
             this->endDrain();
             return;
@@ -252,66 +255,33 @@
         for (const std::string &failure : this->services.update(this->node.tables().all())) {
             LOG(ERROR) << failure;
         }
-        for (const TableState &state : this->node.tables().states()) {
-            LOG(INFO) << "table=" << state.service << " version_in_force=" << state.version << " refused_version=" << state.refusedVersion;
-        }
     }
 
-    //--- Platform
+    //--- Keys
 
-    void tickPlatform()
+    /** On SIGHUP, reads the key files of the settings anew, so that a key is replaced without a restart. */
+    void awaitReload()
     {
-        this->tableWatcher.tick(this->node.tableSync().isWatcher());
-        this->statusReporter.tick(this->node.tableSync().isReporter(), this->zoneStatus());
-        if (this->clock.now() >= this->nextInstances) {
-            this->nextInstances = this->clock.now() + instancesInterval;
-            this->platform.instances([this](const PlatformReply &reply) { this->onInstances(reply); });
-        }
-        this->platformTimer.expires_after(platformInterval);
-        this->platformTimer.async_wait([this](const boost::system::error_code &failure) {
+        this->reloadSignal.async_wait([this](const boost::system::error_code &failure, int) {
             if (!failure) {
-                this->tickPlatform();
+                this->reloadKeys();
+                this->awaitReload();
             }
         });
     }
 
-    void onTables(const std::vector<PlatformObject> &objects)
-    {
-        for (const PlatformObject &object : objects) {
-            Actions out;
-            this->node.onTable(object.key.substr(tablePrefix.size()), object.version, object.value, out);
-            this->perform(out);
-        }
-    }
-
-    void onInstances(const PlatformReply &reply)
+    void reloadKeys()
     {
-        for (const PlatformInstance &instance : reply.instances) {
-            Endpoint peer;
-            if (instance.state == "live" && parseEndpoint(instance.address, peer)) {
-                this->node.addSeed(memberIdOf(instance.name), zoneIdOf(instance.zone), peer);
-            }
+        const LoadedKeys loaded = loadKeys(this->settings.keyFiles);
+        for (const Fault &fault : loaded.faults) {
+            LOG(ERROR) << "keys=kept fault=\"" << toString(fault) << "\"";
         }
-    }
-
-    ZoneStatus zoneStatus() const
-    {
-        ZoneStatus status;
-        status.zone = this->settings.zone;
-        status.reporter = this->settings.name;
-        const TableAgreement agreement = this->node.tableAgreement();
-        status.members = agreement.members;
-        status.agreeing = agreement.agreeing;
-        for (const Endpoint &laggard : agreement.laggards) {
-            status.laggards.push_back(toString(laggard));
-        }
-        for (const TableState &state : this->node.tables().states()) {
-            status.services.push_back({ state.service, state.version });
-            if (state.refusedVersion > state.version) {
-                status.refused.push_back(state.service);
-            }
+        if (!loaded.faults.empty()) {
+            return;
         }
-        return status;
+        this->sealer.updateKeys(loaded.keys);
+        this->node.updateKeys(loaded.keys);
+        LOG(INFO) << "keys=reloaded count=" << loaded.keys.size();
     }
 
     //--- Stop
@@ -345,21 +315,6 @@
         this->exitTimer.async_wait([this](const boost::system::error_code &) { this->context.stop(); });
     }
 
-    //--- Pages
-
-    std::string metricsText() const
-    {
-        std::string text = this->counters.text();
-        text += "hornbeam_requests_in_progress " + std::to_string(this->node.requests().inProgress()) + "\n";
-        text += "hornbeam_record_bytes " + std::to_string(this->node.requests().recordBytes()) + "\n";
-        text += "hornbeam_feeds_open " + std::to_string(this->node.feeds().open()) + "\n";
-        text += "hornbeam_feed_copies " + std::to_string(this->node.feeds().copies()) + "\n";
-        for (const TableState &state : this->node.tables().states()) {
-            text += "hornbeam_table_version{service=\"" + state.service + "\"} " + std::to_string(state.version) + "\n";
-        }
-        return text;
-    }
-
     const DaemonSettings settings;
     SystemClock clock;
     Counters counters;
@@ -377,16 +332,12 @@
     boost::asio::signal_set signals;
     boost::asio::steady_timer tickTimer;
     boost::asio::steady_timer exitTimer;
+    boost::asio::signal_set reloadSignal;
+    StateLog stateLog; // only the tick uses it
+    TimePoint nextLog;
     uint64_t seenTableChanges = ~0ULL; // only the tick reads and writes it
     std::atomic<int> exitCode{ 0 };
-
-    // one thread of its own: the platform client is not thread safe
-    boost::asio::io_context platformContext{ 1 };
-    PlatformClient platform;
-    TableWatcher tableWatcher;
-    StatusReporter statusReporter;
-    boost::asio::steady_timer platformTimer;
-    TimePoint nextInstances;
+    PlatformLoop platform; // runs on a thread of its own
 };
 
 Daemon::Daemon(const DaemonSettings &settings, const std::vector<Bytes> &keys) : impl(std::make_unique<Impl>(settings, keys))
--- a/src/apps/editsession.h
+++ b/src/apps/editsession.h
@@ -103,7 +103,4 @@
     Duration nextPause;
 };
 
-/** The changes that turn a table's rows into those of a CSV file; columns that the file has not stay. Faults are added to `faults`. Thread safe. */
-std::vector<TableChange> diffTable(const ServiceTable &table, const std::string &csv, std::vector<Fault> &faults);
-
 } // namespace hornbeam
--- /dev/null
+++ b/src/apps/platformloop.h
@@ -0,0 +1,51 @@
+#pragma once
+
+// The thread that talks to the platform: tables, the list of instances and the zone's status. The platform client is not thread safe.
+
+#include "node/node.h"
+#include "platform/platformclient.h"
+#include "platform/statusreporter.h"
+#include "platform/tablewatcher.h"
+#include "settings.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+namespace hornbeam {
+
+/** Carries out actions. Thread safe. */
+using ActionsHandler = std::function<void(const Actions &)>;
+
+class PlatformLoop
+{
+public:
+    /** Precondition: all references outlive the loop. */
+    PlatformLoop(const DaemonSettings &settings, Node &node, const Clock &clock, Counters &counters, ActionsHandler perform);
+
+    /** Serves until stop(). Precondition: called once, on a thread of its own. */
+    void run();
+    /** Ends run(). Thread safe. */
+    void stop();
+    /** Whether the last read of the tables succeeded. Thread safe. */
+    bool isReachable() const;
+
+private:
+    void tick();
+    void onTables(const std::vector<PlatformObject> &objects);
+    void onInstances(const PlatformReply &reply);
+    ZoneStatus zoneStatus() const;
+
+    const DaemonSettings &settings;
+    Node &node;
+    const Clock &clock;
+    const ActionsHandler perform;
+    boost::asio::io_context context{ 1 };
+    PlatformClient client;
+    TableWatcher tableWatcher;
+    StatusReporter statusReporter;
+    boost::asio::steady_timer timer;
+    TimePoint nextInstances;
+    std::atomic<bool> reachable{ true };
+};
+
+} // namespace hornbeam
--- a/src/apps/tablecells.cpp
+++ b/src/apps/tablecells.cpp
@@ -103,6 +103,15 @@
     return std::to_string(column == "port" ? table.port : table.queueLimit);
 }
 
+std::string rowText(const TargetRow &row)
+{
+    std::string text;
+    for (const std::string &column : rowColumns()) {
+        text += (text.empty() ? "" : " ") + column + "=" + cellOf(row, column);
+    }
+    return text;
+}
+
 std::string setCell(TargetRow &row, const std::string &column, const std::string &value)
 {
     if (column == "address") {
--- a/src/apps/tablecells.h
+++ b/src/apps/tablecells.h
@@ -19,6 +19,9 @@
 std::string cellOf(const TargetRow &row, const std::string &column);
 std::string cellOf(const ServiceTable &table, const std::string &column);
 
+/** A whole row as column=value words. Thread safe. */
+std::string rowText(const TargetRow &row);
+
 /** Sets a cell from its text. Returns what is allowed there when the text is not, else an empty string. Bounds are parseTable's matter. Thread safe. */
 std::string setCell(TargetRow &row, const std::string &column, const std::string &value);
 std::string setCell(ServiceTable &table, const std::string &column, const std::string &value);
--- a/src/core/coap.h
+++ b/src/core/coap.h
@@ -43,6 +43,8 @@
 constexpr uint16_t optionEcho = 252;       // RFC 9175
 constexpr uint16_t optionDeadline = 65008; // elective, experimental range: milliseconds that the caller still waits
 constexpr size_t maxTokenBytes = 8;
+// callers keep messages within 1152 bytes (RFC 7252, 4.6); relayed and sealed, this still fits a datagram of 1400 bytes
+constexpr size_t maxCallerPacketBytes = 1280;
 
 //--- Reading
 
--- a/src/core/counters.cpp
+++ b/src/core/counters.cpp
@@ -45,7 +45,7 @@
         const auto reason = static_cast<RetryReason>(i);
         appendLine(out, "retries_total", "reason", nameOf(reason), this->value(reason));
     }
-    return out;
+    return out + this->latency.text("hornbeam_added_latency_seconds");
 }
 
 } // namespace hornbeam
--- a/src/core/counters.h
+++ b/src/core/counters.h
@@ -2,6 +2,7 @@
 
 // The counters of one instance: one for each refusal and retry reason, and one for each event an operator may ask about.
 
+#include "core/histogram.h"
 #include "core/verdict.h"
 
 #include <array>
@@ -69,6 +70,11 @@
     {
         this->retries[static_cast<size_t>(reason)].fetch_add(1, std::memory_order_relaxed);
     }
+    /** A request was answered by a target: the time from its arrival here until it left for that target. */
+    void addLatency(Duration added)
+    {
+        this->latency.add(added);
+    }
     uint64_t value(Counter counter) const
     {
         return this->events[static_cast<size_t>(counter)].load(std::memory_order_relaxed);
@@ -88,6 +94,7 @@
     std::array<std::atomic<uint64_t>, static_cast<size_t>(Counter::Count)> events{};
     std::array<std::atomic<uint64_t>, static_cast<size_t>(Reason::Count)> refusals{};
     std::array<std::atomic<uint64_t>, static_cast<size_t>(RetryReason::Count)> retries{};
+    Histogram latency;
 };
 
 } // namespace hornbeam
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -81,7 +81,9 @@
         this->counters.refuse(Reason::MalformedPacket);
         return;
     }
-    if (isFeedPacket(*message)) {
+    if (origin.packet.size() > maxCallerPacketBytes) {
+        this->requestEngine.refuseTooLarge(origin, *message, out);
+    } else if (isFeedPacket(*message)) {
         this->feedEngine.onCallerPacket(origin, *message, out);
     } else if (message->isRequest()) {
         this->requestEngine.onCallerPacket(origin, *message, out);
@@ -282,6 +284,26 @@
     return this->membership.tableAgreement();
 }
 
+void Node::updateKeys(const std::vector<Bytes> &keys)
+{
+    this->keyRing.update(keys);
+}
+
+std::vector<MemberRecord> Node::members() const
+{
+    return this->membership.members();
+}
+
+size_t Node::placesHeld() const
+{
+    return this->slotClient.heldCount();
+}
+
+KeeperLoad Node::keeperLoad() const
+{
+    return this->keeper.load();
+}
+
 std::optional<Endpoint> Node::endpointOf(MemberId member) const
 {
     return this->membership.endpointOf(member);
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -81,6 +81,9 @@
     /** Tells the zone that this instance is gone. Precondition: the last call. */
     void endDrain(Actions &out);
 
+    /** Puts other keys in force for Echo values. Precondition: one or two. */
+    void updateKeys(const std::vector<Bytes> &keys);
+
     //--- Debugging
 
     /** Members, tables in force, keeper state, requests and feeds, as text. */
@@ -90,6 +93,12 @@
     TableAgreement tableAgreement() const;
     /** Where to send a message for a member or a listed instance; nothing when it is neither. */
     std::optional<Endpoint> endpointOf(MemberId member) const;
+    /** Every member known, of all zones and states. */
+    std::vector<MemberRecord> members() const;
+    /** Request slots and feed places that this instance holds at targets. */
+    size_t placesHeld() const;
+    /** What this instance hands out as a keeper. */
+    KeeperLoad keeperLoad() const;
     const MemberDirectory &directory() const;
     const TableStore &tables() const;
     const TableSync &tableSync() const;
--- a/src/peer/keyring.cpp
+++ b/src/peer/keyring.cpp
@@ -22,21 +22,28 @@
 
 } // namespace
 
-KeyRing::KeyRing(std::vector<Bytes> keys) : keys(std::move(keys))
+KeyRing::KeyRing(std::vector<Bytes> keys)
 {
-    if (this->keys.size() > maxKeys) {
-        this->keys.resize(maxKeys);
+    this->update(std::move(keys));
+}
+
+void KeyRing::update(std::vector<Bytes> keys)
+{
+    if (keys.size() > maxKeys) {
+        keys.resize(maxKeys);
     }
+    this->keys.store(std::make_shared<const std::vector<Bytes>>(std::move(keys)));
 }
 
 uint64_t KeyRing::sign(const uint8_t *data, size_t size) const
 {
-    return signatureBy(this->keys.front(), data, size);
+    return signatureBy(this->keys.load()->front(), data, size);
 }
 
 bool KeyRing::verify(const uint8_t *data, size_t size, uint64_t signature) const
 {
-    for (const Bytes &key : this->keys) {
+    const auto present = this->keys.load();
+    for (const Bytes &key : *present) {
         const uint64_t difference = signatureBy(key, data, size) ^ signature; // compared as one word, so the time tells nothing
         if (difference == 0) {
             return true;
--- a/src/peer/keyring.h
+++ b/src/peer/keyring.h
@@ -4,7 +4,9 @@
 
 #include "core/types.h"
 
+#include <atomic>
 #include <cstddef>
+#include <memory>
 
 namespace hornbeam {
 
@@ -18,6 +20,8 @@
 public:
     /** The first key signs, all verify. Precondition: one key at least; further ones than maxKeys are left out. */
     explicit KeyRing(std::vector<Bytes> keys);
+    /** Puts other keys in force at once. Precondition: as for the constructor. */
+    void update(std::vector<Bytes> keys);
 
     /** The signature of `data` by the first key: the first 8 bytes of its HMAC, the first one highest. */
     uint64_t sign(const uint8_t *data, size_t size) const;
@@ -25,7 +29,7 @@
     bool verify(const uint8_t *data, size_t size, uint64_t signature) const;
 
 private:
-    std::vector<Bytes> keys;
+    std::atomic<std::shared_ptr<const std::vector<Bytes>>> keys;
 };
 
 } // namespace hornbeam
--- a/src/peer/seal.cpp
+++ b/src/peer/seal.cpp
@@ -6,6 +6,11 @@
 {
 }
 
+void PacketSealer::updateKeys(std::vector<Bytes> keys)
+{
+    this->ring.update(std::move(keys));
+}
+
 Bytes PacketSealer::seal(Bytes message) const
 {
     message.reserve(message.size() + sealBytes);
--- a/src/peer/seal.h
+++ b/src/peer/seal.h
@@ -19,6 +19,8 @@
     /** The first key signs, all open. Precondition: one key at least, maxKeys at most. */
     explicit PacketSealer(std::vector<Bytes> keys);
 
+    /** Puts other keys in force at once. Precondition: as for the constructor. */
+    void updateKeys(std::vector<Bytes> keys);
     /** The message with version and signature behind it; the signature covers both. */
     Bytes seal(Bytes message) const;
     /** The message without its seal; nothing when it is too short, of another version, or signed by none of the keys. */
--- a/src/requests/answers.cpp
+++ b/src/requests/answers.cpp
@@ -44,6 +44,11 @@
     return buildContent(CoapCode::GatewayTimeout, {}, text);
 }
 
+AnswerContent tooLargeContent()
+{
+    return buildContent(CoapCode::TooLarge, {}, std::string(nameOf(Verdict::NotRun)) + ": " + std::string(nameOf(Reason::MessageTooLarge)));
+}
+
 AnswerContent challengeContent(const Bytes &echo)
 {
     return buildContent(CoapCode::Unauthorized, { { optionEcho, echo } }, "");
--- a/src/requests/answers.h
+++ b/src/requests/answers.h
@@ -28,6 +28,8 @@
  * The verdict is weaker than the reason's own when an earlier copy of the request may have run. `retryAfter` is rounded up to seconds. Thread safe.
  */
 AnswerContent refusalContent(Verdict verdict, Reason reason, Duration retryAfter);
+/** 4.13 (RFC 7252, 5.9.2.9) with "not_run: message_too_large". Thread safe. */
+AnswerContent tooLargeContent();
 /** 4.01 with an Echo value (RFC 9175, 2.3). Thread safe. */
 AnswerContent challengeContent(const Bytes &echo);
 
--- a/src/requests/exchanges.cpp
+++ b/src/requests/exchanges.cpp
@@ -195,6 +195,7 @@
     }
     this->endExchange(at, SlotOutcome::Answered, out);
     this->counters.add(Counter::RequestsServed);
+    this->counters.addLatency(at->second.sentAt - at->second.arrivedAt);
     this->finish(shard, at, Verdict::Ran, Reason::None, contentOf(message, data, size), out);
 }
 
--- a/src/requests/requestengine.cpp
+++ b/src/requests/requestengine.cpp
@@ -136,7 +136,8 @@
     if (message.deadlineMs.has_value()) {
         patience = std::min<Duration>(patience, milliseconds(*message.deadlineMs));
     }
-    request.deadline = this->clock.now() + patience;
+    request.arrivedAt = this->clock.now();
+    request.deadline = request.arrivedAt + patience;
     return request;
 }
 
@@ -146,6 +147,14 @@
     this->answer(exchange, refusalContent(verdict, reason, this->settings.retryAfter), out);
 }
 
+void RequestEngine::refuseTooLarge(const Relay &origin, const CoapMessage &message, Actions &out)
+{
+    this->counters.refuse(Reason::MessageTooLarge);
+    if (message.isRequest()) {
+        this->answer(this->exchangeOf(origin, message), tooLargeContent(), out);
+    }
+}
+
 void RequestEngine::answer(const CallerExchange &exchange, const AnswerContent &content, Actions &out)
 {
     sendAnswer(exchange, content, ++this->callerMessageId, out);
--- a/src/requests/requestengine.h
+++ b/src/requests/requestengine.h
@@ -29,6 +29,8 @@
 
     /** A caller's request without Observe, from the fabric or relayed. Precondition: `message` was parsed from `origin.packet`. */
     void onCallerPacket(const Relay &origin, const CoapMessage &message, Actions &out);
+    /** A caller's packet above maxCallerPacketBytes: a request is answered by 4.13, at every instance, so it never runs. Precondition: as above. */
+    void refuseTooLarge(const Relay &origin, const CoapMessage &message, Actions &out);
     /**
      * A packet from a target whose token is of TokenKind::Request, or an empty one (ACK, RST) whose message ID has the high bits 00.
      * What belongs to no exchange, or comes from another target than the one asked, is a counted drop.
--- a/src/requests/shard.h
+++ b/src/requests/shard.h
@@ -21,6 +21,7 @@
     bool isSent = false;
     bool mayHaveRun = false; // an earlier attempt was sent and stayed without an answer
     unsigned retries = 0;
+    TimePoint arrivedAt;
     TimePoint deadline;        // after that nobody waits for an answer
     TimePoint queueDeadline;   // of a queued one
     TimePoint answerDeadline;  // of a sent one
--- a/src/slots/keeper.cpp
+++ b/src/slots/keeper.cpp
@@ -129,6 +129,16 @@
     }
 }
 
+KeeperLoad Keeper::load() const
+{
+    const std::lock_guard lock(this->mutex);
+    KeeperLoad load;
+    for (const auto &[service, keeper] : this->kept) {
+        keeper->addLoad(load);
+    }
+    return load;
+}
+
 std::string Keeper::dump() const
 {
     const std::lock_guard lock(this->mutex);
--- a/src/slots/keeper.h
+++ b/src/slots/keeper.h
@@ -18,6 +18,15 @@
 
 namespace hornbeam {
 
+/** Sums over all services that an instance keeps. */
+struct KeeperLoad
+{
+    size_t services = 0;
+    size_t requestSlots = 0; // in use
+    size_t feedPlaces = 0;   // in use
+    size_t queued = 0;       // asks that wait for a place
+};
+
 /** All methods are thread safe; one mutex guards the state, and nothing is called upward. */
 class Keeper
 {
@@ -37,6 +46,8 @@
     void onTargetPacket(const Endpoint &from, const Bytes &packet, const CoapMessage &message, Actions &out);
     /** Does what is due. To be called every 50 ms or less. */
     void tick(Actions &out);
+    /** Sums over what is kept. */
+    KeeperLoad load() const;
     /** The state as text, for debugging. */
     std::string dump() const;
 
--- a/src/slots/servicekeeper.h
+++ b/src/slots/servicekeeper.h
@@ -16,6 +16,8 @@
 
 namespace hornbeam {
 
+struct KeeperLoad;
+
 struct KeeperContext
 {
     const KeeperSettings &settings;
@@ -55,6 +57,8 @@
     void tick(uint64_t &probeNumber, Actions &out);
     /** The target whose probe carries a number; 0 when there is none. */
     TargetId findProbe(uint64_t number) const;
+    /** Adds what is in use and waits here. */
+    void addLoad(KeeperLoad &load) const;
     std::string dump() const;
 
 private:
--- a/src/slots/servicekeepertargets.cpp
+++ b/src/slots/servicekeepertargets.cpp
@@ -3,6 +3,7 @@
 #include "slots/servicekeeper.h"
 
 #include "core/upstreamtoken.h"
+#include "slots/keeper.h"
 
 #include <algorithm>
 #include <sstream>
@@ -152,6 +153,16 @@
     }
 }
 
+void ServiceKeeper::addLoad(KeeperLoad &load) const
+{
+    ++load.services;
+    load.queued += this->queue.waiting.size();
+    for (const auto &[target, state] : this->targets) {
+        load.requestSlots += this->book.used(target, PlaceKind::Request);
+        load.feedPlaces += this->book.used(target, PlaceKind::Feed);
+    }
+}
+
 std::string ServiceKeeper::dump() const
 {
     const TimePoint now = this->context.clock.now();
--- a/tests/childprocess.h
+++ b/tests/childprocess.h
@@ -81,7 +81,9 @@
     }
     void sendSignal(int signal)
     {
-        ::kill(this->process, signal);
+        if (this->process > 0) { // -1 would reach every process
+            ::kill(this->process, signal);
+        }
     }
 
 private:
--- a/tests/edit_test.cpp
+++ b/tests/edit_test.cpp
@@ -1,5 +1,6 @@
 #include "apps/editsession.h"
 #include "apps/tablecells.h"
+#include "apps/tablediff.h"
 
 #include <catch2/catch.hpp>
 #include <deque>
