Feeds: two owners that move one feed to each other both keep it

Cause: while views differ, A offers a feed to B, B takes it and offers it back; A accepted (the higher identifier did) and told so, then B's own FeedTaken arrived and A dropped it, and B dropped it on A's word: nobody had it. Seen in three release scenarios of the World: gaps of 12 s to 36 s, until the silence or the caller's own repeat. Also it flew to and fro each 20 ms while the views differed. Now: an offer that crosses the own one is ignored; a FeedTaken is ignored within 1 s of having told the same member FeedTaken; what was taken over from the member that this view names as owner goes back only after moveRetry. Ruled out: a number of the move in FeedTaken (a change of the wire format for the same effect); lost messages (the World drops none here).

--- a/src/feeds/feedmoves.cpp
+++ b/src/feeds/feedmoves.cpp
@@ -15,15 +15,11 @@
 {
     const FeedKey key = makeFeedKey(state.service, state.caller, state.token);
     const uint32_t index = this->store.findFeed(key);
-    if (index != noIndex) {
-        const auto moving = this->moves.find(index);
-        if (moving != this->moves.end() && moving->second.to == sender) {
-            if (this->context.self < sender || this->context.draining) {
-                return; // both offer it to the other: the higher identifier keeps it until the views agree
-            }
-        }
+    const auto moving = index == noIndex ? this->moves.end() : this->moves.find(index);
+    if (moving != this->moves.end() && moving->second.to == sender) {
+        return; // each offers it to the other: if both took it, each would drop it on the other's word. Both keep it until the views agree.
     }
-    const uint32_t taken = index == noIndex ? this->adopt(state, key, out) : index;
+    const uint32_t taken = index == noIndex ? this->adopt(state, key, sender, out) : index;
     if (taken == noIndex) {
         return; // the sender tries again
     }
@@ -39,7 +35,7 @@
     }
 }
 
-uint32_t FeedShard::adopt(const FeedState &state, const FeedKey &key, Actions &out)
+uint32_t FeedShard::adopt(const FeedState &state, const FeedKey &key, MemberId sender, Actions &out)
 {
     const uint64_t wall = this->context.clock.wallMillis();
     const uint32_t index = this->store.addFeed(key, static_cast<uint16_t>(mixHash(key.flow() ^ this->context.self, wall)));
@@ -64,6 +60,11 @@
     this->copies.remove(key);
     this->context.counters.add(Counter::FeedsMovedIn);
     this->context.counters.retry(RetryReason::OwnerChanged);
+    if (sender != this->context.self && sender == this->context.directory.flowOwner(key.flow())) {
+        // the views differ: it goes back only if they still do after a while, or it would fly to and fro
+        this->moves[index].to = sender;
+        this->resend.push_back(Resend{ key, this->context.clock.now() });
+    }
     this->askPlace(registration, out);
     this->checkFeed(index, out);
     return index;
@@ -100,8 +101,8 @@
     }
     const auto moving = this->moves.find(index);
     const bool isExpected = moving != this->moves.end() ? moving->second.to == owner : this->context.directory.flowOwner(key.flow()) == owner;
-    if (!isExpected) {
-        return;
+    if (!isExpected || this->promises.contains({ index, owner })) {
+        return; // promised: the other drops it on this one's word, which crossed its own
     }
     this->endRegistrations(index, true, out);
     this->context.counters.add(Counter::FeedsMovedOut);
@@ -130,6 +131,7 @@
     const FeedKey &key = this->store.feed(index).key;
     for (const MemberId peer : waiting->second) {
         this->taken[TakenGroup{ peer, key.service }].push_back(FeedCaller{ key.caller, key.token(), 0, {} });
+        this->promises[{ index, peer }] = this->context.clock.now();
     }
     this->takeovers.erase(waiting);
 }
--- a/src/feeds/feedsends.cpp
+++ b/src/feeds/feedsends.cpp
@@ -14,6 +14,7 @@
 constexpr double feedBytes = 24;           // each further feed, about
 constexpr size_t replacementsPerTick = 64; // in one shard
 constexpr size_t copiesDroppedPerTick = 64;
+constexpr seconds promiseTime{ 1 }; // longer than a message is on its way, shorter than FeedSettings::moveRetry
 
 } // namespace
 
@@ -179,6 +180,8 @@
         }
     }
     this->taken.clear();
+    const TimePoint past = this->context.clock.now() - promiseTime;
+    std::erase_if(this->promises, [past](const auto &promise) { return promise.second < past; });
 }
 
 void FeedShard::removeOldCopies()
--- a/src/feeds/feedshard.cpp
+++ b/src/feeds/feedshard.cpp
@@ -89,6 +89,7 @@
 {
     this->moves.erase(index);
     this->takeovers.erase(index);
+    std::erase_if(this->promises, [index](const auto &promise) { return promise.first.first == index; });
     this->store.removeFeed(index);
 }
 
--- a/src/feeds/feedshard.h
+++ b/src/feeds/feedshard.h
@@ -140,7 +140,7 @@
     bool isUsable(ServiceId service, const Registration &registration) const;
 
     // owners and copies
-    uint32_t adopt(const FeedState &state, const FeedKey &key, Actions &out);
+    uint32_t adopt(const FeedState &state, const FeedKey &key, MemberId sender, Actions &out);
     void addTakeover(uint32_t index, MemberId peer);
     void tellTaken(uint32_t index);
     void checkFeed(uint32_t index, Actions &out);
@@ -172,6 +172,7 @@
     std::unordered_map<uint32_t, OutgoingMove> moves;              // feeds that another member owns by now
     std::unordered_map<uint32_t, std::vector<MemberId>> takeovers; // who waits for FeedTaken of a feed
     std::map<TakenGroup, std::vector<FeedCaller>> taken;           // FeedTaken of the next tick
+    std::map<std::pair<uint32_t, MemberId>, TimePoint> promises;   // to whom FeedTaken of a feed was told of late, and when
     std::unordered_map<TargetId, TimePoint> leavingTargets;        // targets that leave or failed, and when a keeper said so
     std::unordered_map<Endpoint, TimePoint> unreachable;           // targets whose host refused a packet
     std::map<MoveGroup, MoveQueue> outgoing;                       // feeds and copies to be moved
