Slots: keepers whose epoch is behind, silent keepers, and joining alone

An instance that had just started saw itself as the keeper of everything, queried itself, and kept that later epoch. It then ignored every grant of the right keeper, asked again, and never told it; a restarted instance stayed so for good. Views agreed and rebuilds were over: both ruled out.

A client whose epoch is ahead now reports to the keeper, which rebuilds above it. An instance that knows nobody in its zone keeps nothing for joinWait, so it gives no place away twice. A silent keeper is left for another zone after two asks, a suspected one is asked last. Until some keeper has answered, a request waits for keeperPatience, above the failure detection time, and only then counts as refused.

The fakes' fleet now starts after joinWait, as its instances are taken to have run for a while.

--- a/src/requests/exchanges.cpp
+++ b/src/requests/exchanges.cpp
@@ -43,12 +43,13 @@
     const TimePoint now = this->clock.now();
     const uint64_t attempt = this->firstAttempt + (++shard.attemptSerial) * this->shards.size() + shard.index;
     request.isSent = false;
-    request.queueDeadline = std::min(request.deadline, now + this->settings.queuePatience);
+    request.queueDeadline = std::min(request.deadline, now + std::max(this->settings.queuePatience, this->settings.keeperPatience));
     PlaceWant want;
     want.request = attempt;
     want.service = request.exchange.service;
     want.flow = flowKey(request.exchange.service, request.exchange.caller);
-    want.patience = request.queueDeadline - now;
+    want.patience = std::min<Duration>(request.deadline - now, this->settings.queuePatience);
+    want.keeperPatience = request.queueDeadline - now;
     want.avoid = request.avoid;
     if (request.isIdempotent) {
         shard.idempotentAttempts[keyOf(request.exchange)] = attempt;
--- a/src/requests/settings.h
+++ b/src/requests/settings.h
@@ -12,6 +12,7 @@
 {
     size_t shardCount = 16;                 // parts with a mutex each, 1 to 256
     Duration queuePatience = seconds(1);    // longest wait for a place, 1 ms to 60 s
+    Duration keeperPatience = seconds(4);   // longest wait for the first answer of a keeper, above the time that a death takes to be noticed
     Duration answerPatience = seconds(5);   // longest wait for a target's answer, 1 ms to 120 s
     Duration attemptPatience = seconds(2);  // wait for a sign of life before an idempotent request goes elsewhere, up to answerPatience
     Duration firstUseWindow = seconds(60);  // an Echo value names a new request for this long, less than recordLifetime
--- a/src/slots/keeper.cpp
+++ b/src/slots/keeper.cpp
@@ -16,6 +16,7 @@
     : settings(settings)
     , context{ this->settings, directory, tables, clock, counters }
     , probeNumber(clock.wallMillis() << probeNumberShift) // answers to an earlier process don't match
+    , startedAt(clock.now())
 {
 }
 
@@ -23,7 +24,7 @@
 {
     const MemberRecord self = this->context.directory.self();
     const auto found = this->kept.find(service);
-    const bool isKeeper = zone == self.zone && this->context.directory.ownerIn(zone, keeperKey(service, zone), 0) == self.id;
+    const bool isKeeper = zone == self.zone && this->hasJoined() && this->context.directory.ownerIn(zone, keeperKey(service, zone), 0) == self.id;
     if (!isKeeper) {
         if (zone == self.zone && found != this->kept.end()) {
             this->lastEpochs[service] = found->second->term();
@@ -40,6 +41,16 @@
     return this->kept.emplace(service, std::make_unique<ServiceKeeper>(this->context, service, epoch, out)).first->second.get();
 }
 
+/** An instance that has just started sees itself as the keeper of everything until it hears of the others. */
+bool Keeper::hasJoined()
+{
+    if (!this->isJoined) {
+        const bool isAlone = this->context.directory.eligibleIn(this->context.directory.self().zone).size() <= 1;
+        this->isJoined = !isAlone || this->context.clock.now() - this->startedAt >= this->settings.joinWait;
+    }
+    return this->isJoined;
+}
+
 void Keeper::onSlotAsk(const SlotAsk &ask, Actions &out)
 {
     const std::lock_guard lock(this->mutex);
@@ -117,7 +128,8 @@
 {
     const uint64_t view = this->context.directory.viewVersion();
     const uint64_t changes = this->context.tables.changes();
-    if (this->hasRoles && view == this->viewVersion && changes == this->tableChanges) {
+    const bool wasJoined = this->isJoined;
+    if (this->hasRoles && wasJoined == this->hasJoined() && view == this->viewVersion && changes == this->tableChanges) {
         return;
     }
     this->hasRoles = true;
--- a/src/slots/keeper.h
+++ b/src/slots/keeper.h
@@ -43,6 +43,7 @@
 private:
     ServiceKeeper *findKept(ServiceId service, ZoneId zone, Actions &out);
     void updateRoles(Actions &out);
+    bool hasJoined();
 
     const KeeperSettings settings;
     const KeeperContext context;
@@ -53,6 +54,8 @@
     uint64_t viewVersion = 0;
     uint64_t tableChanges = 0;
     bool hasRoles = false;
+    TimePoint startedAt;
+    bool isJoined = false;
 };
 
 } // namespace hornbeam
--- a/src/slots/places.h
+++ b/src/slots/places.h
@@ -13,9 +13,10 @@
     uint64_t request = 0;
     ServiceId service = 0;
     PlaceKind kind = PlaceKind::Request;
-    uint64_t flow = 0;   // prefers the target that weighted rendezvous hashing gives this flow
-    Duration patience{}; // how long it may wait for a place
-    TargetId avoid = 0;  // a target that just failed it; 0 for none
+    uint64_t flow = 0;         // prefers the target that weighted rendezvous hashing gives this flow
+    Duration patience{};       // how long it may wait for a place
+    TargetId avoid = 0;        // a target that just failed it; 0 for none
+    Duration keeperPatience{}; // how long it may wait for a keeper's first answer, when that is longer
 };
 
 struct Place
--- a/src/slots/settings.h
+++ b/src/slots/settings.h
@@ -11,6 +11,7 @@
 
 struct KeeperSettings
 {
+    Duration joinWait = seconds(2);               // an instance that knows nobody in its zone keeps nothing for this long, 0 to 60 s
     Duration rebuildWait = seconds(3);            // longest wait for reports after a takeover, 100 ms to 60 s
     Duration queryInterval = milliseconds(200);   // time between queries to a member that has not reported
     Duration requestAuditAge = seconds(5);        // age at which a request slot is checked with its holder
@@ -41,6 +42,7 @@
 {
     Duration silentRetry = milliseconds(150); // an ask without an answer is repeated, 100 to 200 ms
     Duration queuedRetry = milliseconds(500); // the same while the ask may stand in the keeper's queue
+    uint32_t silentAsks = 2;                  // asks without an answer after which another zone is tried, 1 to 10
     size_t spillZones = 2;                    // other zones tried before queueing
     size_t placesPerReport = 40;              // places in one part of a report: about 1 KB
     size_t maxWishes = 65536;                 // wishes that wait at a time
--- a/src/slots/slotclient.cpp
+++ b/src/slots/slotclient.cpp
@@ -49,6 +49,7 @@
     Wish wish;
     wish.want = want;
     wish.deadline = this->clock.now() + want.patience;
+    wish.keeperDeadline = this->clock.now() + std::max(want.patience, want.keeperPatience);
     wish.untried = this->spillZones(want, table);
     if (wish.untried.empty()) {
         wish.reason = Reason::NoTarget;
@@ -77,7 +78,9 @@
     std::sort(others.begin(), others.end(), [&want](ZoneId a, ZoneId b) { return mixHash(want.flow, a) < mixHash(want.flow, b); });
     others.resize(std::min(others.size(), this->settings.spillZones));
     if (hasOwn) {
-        others.push_back(this->self.zone);
+        // a suspect is asked last: it is silent as a rule, and the other zones have slots too
+        const bool isLast = this->isSuspect(this->keeperOf(want.service, this->self.zone));
+        others.insert(isLast ? others.begin() : others.end(), this->self.zone);
     }
     return others;
 }
@@ -87,14 +90,23 @@
     return this->directory.ownerIn(zone, keeperKey(service, zone), 0);
 }
 
+bool SlotClient::isSuspect(MemberId member) const
+{
+    const auto record = this->directory.find(member);
+    return record.has_value() && record->state == MemberState::Suspect;
+}
+
 void SlotClient::sendAsk(Wish &wish, Actions &out)
 {
     const TimePoint now = this->clock.now();
     wish.nextAskAt = now + (wish.isQueueing ? this->settings.queuedRetry : this->settings.silentRetry);
+    wish.isSilent = true;
     wish.keeper = this->keeperOf(wish.want.service, wish.zone);
     if (wish.keeper == 0) {
         return; // looked up again at the next try
     }
+    const TimePoint deadline = wish.isHeard ? wish.deadline : wish.keeperDeadline;
+    ++wish.asks;
     SlotAsk ask;
     ask.request = wish.want.request;
     ask.asker = this->self.id;
@@ -103,7 +115,7 @@
     ask.zone = wish.zone;
     ask.kind = wish.want.kind;
     ask.flow = wish.want.flow;
-    ask.deadlineMs = static_cast<uint32_t>(std::max<int64_t>(0, std::chrono::duration_cast<milliseconds>(wish.deadline - now).count()));
+    ask.deadlineMs = static_cast<uint32_t>(std::max<int64_t>(0, std::chrono::duration_cast<milliseconds>(deadline - now).count()));
     ask.mayQueue = wish.isQueueing;
     ask.avoid = wish.want.avoid;
     out.sendToPeer(wish.keeper, ask);
@@ -166,10 +178,7 @@
         && wish->second.want.kind == grant.kind;
     if (known != this->terms.end() && grant.epoch < known->second.epoch) {
         if (isWanted) {
-            this->counters.retry(RetryReason::KeeperChanged);
-        }
-        if (isWanted && this->keeperOf(grant.service, grant.zone) != grant.keeper) { // else that keeper would answer the same again
-            this->sendAsk(wish->second, out);
+            this->askAfterLateGrant(wish->second, grant, known->second, out);
         }
         return false; // the keeper of the later epoch does not count this place
     }
@@ -196,6 +205,19 @@
     return true;
 }
 
+void SlotClient::askAfterLateGrant(Wish &wish, const SlotGrant &grant, KeeperTerm &term, Actions &out)
+{
+    this->counters.retry(RetryReason::KeeperChanged);
+    wish.isSilent = false;
+    if (this->keeperOf(grant.service, grant.zone) != grant.keeper) {
+        this->sendAsk(wish, out);
+        return;
+    }
+    // the right keeper, whose epoch is behind one seen here, e.g. of an instance that started alone: it would answer the same forever,
+    // so it is told; it then rebuilds with an epoch above
+    this->sendReport({ grant.service, grant.zone }, term, grant.keeper, false, out);
+}
+
 void SlotClient::onSlotRefusal(const SlotRefusal &refusal, Actions &out)
 {
     Refused ended;
@@ -208,6 +230,7 @@
         Wish &wish = found->second;
         if (refusal.reason == Reason::KeeperUnreachable) {
             this->counters.retry(RetryReason::KeeperChanged);
+            wish.isSilent = false;
             wish.nextAskAt = std::min(wish.nextAskAt, this->clock.now() + this->settings.silentRetry);
             return; // asked again once the views have come closer
         }
@@ -222,6 +245,9 @@
 
 bool SlotClient::askElsewhere(Wish &wish, const SlotRefusal &refusal, Actions &out)
 {
+    if (!wish.isHeard) { // what the search for a keeper took is not taken from the wait in its queue
+        wish.deadline = std::min(wish.keeperDeadline, this->clock.now() + wish.want.patience);
+    }
     wish.isHeard = true;
     const bool mayQueueThere = refusal.reason == Reason::NoSlot && !wish.isQueueing;
     if (mayQueueThere && refusal.retryAfterMs < wish.queueWaitMs) {
@@ -239,6 +265,7 @@
     if (!wish.untried.empty()) {
         wish.zone = wish.untried.back();
         wish.untried.pop_back();
+        wish.asks = 0;
     } else if (wish.queueWaitMs != UINT32_MAX) {
         wish.zone = wish.queueZone;
         wish.isQueueing = true;
--- a/src/slots/slotclient.h
+++ b/src/slots/slotclient.h
@@ -53,14 +53,17 @@
     struct Wish
     {
         PlaceWant want;
-        TimePoint deadline;
+        TimePoint deadline;       // once a keeper has answered
+        TimePoint keeperDeadline; // before that
         TimePoint nextAskAt;
+        uint32_t asks = 0;           // without an answer, of the zone asked now
         std::vector<ZoneId> untried; // zones not yet asked without queueing, the next one last
         ZoneId zone = 0;             // the zone asked now
         MemberId keeper = 0;         // the instance asked now
         bool isQueueing = false;
         bool isRefused = false; // ends at the next tick
         bool isHeard = false;   // some keeper has answered
+        bool isSilent = true;   // the last ask has had no answer at all
         Reason reason = Reason::KeeperUnreachable;
         uint32_t retryAfterMs = 0;
         ZoneId queueZone = 0; // the zone whose refusal promised the shortest wait
@@ -99,10 +102,13 @@
     Wish makeWish(const PlaceWant &want, const ServiceTable &table) const;
     std::vector<ZoneId> spillZones(const PlaceWant &want, const ServiceTable &table) const;
     MemberId keeperOf(ServiceId service, ZoneId zone) const;
+    bool isSuspect(MemberId member) const;
     void sendAsk(Wish &wish, Actions &out);
     void sendRelease(const Place &place, SlotOutcome outcome, Duration latency, Actions &out);
     void withdraw(const Wish &wish, Actions &out);
     bool takeGrant(const SlotGrant &grant, Actions &out);
+    void askAfterLateGrant(Wish &wish, const SlotGrant &grant, KeeperTerm &term, Actions &out);
+    void askAgain(Wish &wish, Actions &out);
     /** Moves a refused wish on. Returns false when there is nothing left to try. */
     bool askElsewhere(Wish &wish, const SlotRefusal &refusal, Actions &out);
     void sendReport(const KeeperKey &key, KeeperTerm &term, MemberId keeper, bool splitAnew, Actions &out);
--- a/src/slots/slotclientreports.cpp
+++ b/src/slots/slotclientreports.cpp
@@ -121,7 +121,7 @@
         refused.push_back({ wish.want.request, wish.reason, milliseconds(wish.retryAfterMs) });
         return;
     }
-    if (now >= wish.deadline) {
+    if (now >= (wish.isHeard ? wish.deadline : wish.keeperDeadline)) {
         this->withdraw(wish, out);
         const Reason reason = wish.isHeard ? Reason::QueueDeadline : Reason::KeeperUnreachable;
         refused.push_back({ wish.want.request, reason, milliseconds(wish.retryAfterMs) });
@@ -132,9 +132,23 @@
         this->counters.retry(RetryReason::KeeperChanged);
         this->sendAsk(wish, out);
     } else if (now >= wish.nextAskAt) {
+        this->askAgain(wish, out);
+    }
+}
+
+void SlotClient::askAgain(Wish &wish, Actions &out)
+{
+    if (wish.isSilent) {
         this->counters.retry(RetryReason::KeeperSilent);
-        this->sendAsk(wish, out);
     }
+    const bool isGivenUp = !wish.isQueueing && wish.asks >= this->settings.silentAsks && !wish.untried.empty();
+    if (isGivenUp) { // the zone is not asked again: its keeper may remember the withdrawal
+        this->withdraw(wish, out);
+        wish.zone = wish.untried.back();
+        wish.untried.pop_back();
+        wish.asks = 0;
+    }
+    this->sendAsk(wish, out);
 }
 
 void SlotClient::reportToNewKeepers(Actions &out)
--- a/tests/slotclient_test.cpp
+++ b/tests/slotclient_test.cpp
@@ -192,6 +192,105 @@
     }
 }
 
+TEST_CASE("an instance that joins disturbs neither the keepers nor itself")
+{
+    FakeFleet fleet({ 1, 1, 1 });
+    useTargets(fleet, 1, 2);
+    fleet.begin(2, 1);
+    fleet.deliverAll();
+
+    SECTION("it keeps nothing while it knows nobody, so that it gives no place away twice")
+    {
+        MemberRecord record = fleet.records.at(2);
+        FakeInstance joining(record, fleet.tables, fleet.clock, {});
+        joining.directory.updateMember(record);
+        SlotAsk ask;
+        ask.request = 9;
+        ask.asker = record.id;
+        ask.incarnation = record.incarnation;
+        ask.service = fakeService;
+        ask.zone = 1;
+        Actions out;
+        joining.keeper.onSlotAsk(ask, out);
+        REQUIRE(out.toPeers.size() == 1);
+        CHECK(std::get<SlotRefusal>(out.toPeers[0].message).reason == Reason::KeeperUnreachable);
+
+        Actions later; // alone for good: it serves
+        fleet.clock.advance(KeeperSettings().joinWait);
+        joining.keeper.tick(later);
+        joining.keeper.onSlotAsk(ask, later);
+        const auto isTakeover = [](const MessageOut &message) { return std::holds_alternative<HeldQuery>(message.message); };
+        CHECK(std::any_of(later.toPeers.begin(), later.toPeers.end(), isTakeover));
+    }
+    SECTION("one that has seen a later epoch than the keeper's gets places again, and none is given twice")
+    {
+        Actions out;
+        fleet.at(3).client.onHeldQuery({ 3, fakeService, 1, UINT64_MAX >> 8, {} }, out); // it was alone, and queried itself
+        for (uint64_t request = 10; request < 14; ++request) {
+            fleet.begin(3, request, PlaceKind::Request, seconds(1));
+        }
+        for (int i = 0; i < 20; ++i) {
+            fleet.run(milliseconds(50));
+            CHECK(fleet.used(1) <= 2);
+        }
+        CHECK(fleet.at(3).listener.places.size() == 1);
+        fleet.end(2, 1);
+        fleet.begin(3, 20, PlaceKind::Request, seconds(1));
+        fleet.run(milliseconds(100));
+        CHECK(fleet.at(3).listener.places.contains(20));
+    }
+}
+
+TEST_CASE("a keeper that dies stops no zone, and refuses nothing that can wait")
+{
+    FakeFleet fleet({ 1, 1, 2, 2 });
+    useTargets(fleet, 2, 1);
+    FakeListener &listener = fleet.at(2).listener;
+    fleet.at(1).isAlive = false; // not noticed yet
+    const auto begin = [&fleet](uint64_t request, Duration keeperPatience) {
+        Actions out;
+        fleet.at(2).client.beginPlace({ request, fakeService, PlaceKind::Request, 0, milliseconds(400), 0, keeperPatience }, out);
+        fleet.send(out);
+    };
+
+    SECTION("another zone is asked when it stays silent")
+    {
+        begin(1, seconds(4));
+        fleet.run(milliseconds(400));
+        REQUIRE(listener.places.contains(1));
+        CHECK(listener.places.at(1).zone == 2);
+    }
+    SECTION("and at once while it is suspected")
+    {
+        MemberRecord suspect = fleet.records.at(0);
+        suspect.state = MemberState::Suspect;
+        fleet.at(2).directory.updateMember(suspect);
+        begin(1, seconds(4));
+        fleet.deliverAll();
+        CHECK(listener.places.contains(1));
+    }
+    SECTION("with no other zone, a wish outlives its wait in a queue until the next keeper answers")
+    {
+        fleet.tables.update([](ServiceTable &table) { std::erase_if(table.rows, [](const TargetRow &row) { return row.zone == 2; }); });
+        begin(1, seconds(4));
+        fleet.run(seconds(3));
+        CHECK_FALSE(listener.outcomes.contains(1));
+        fleet.kill(1);
+        for (MemberId member = 2; member <= 4; ++member) {
+            fleet.learn(member, 1);
+        }
+        fleet.run(milliseconds(200));
+        CHECK(listener.places.contains(1));
+    }
+    SECTION("but not for ever")
+    {
+        fleet.at(3).isAlive = false;
+        begin(1, seconds(4));
+        fleet.run(milliseconds(4100));
+        CHECK(listener.refusals[1] == Reason::KeeperUnreachable);
+    }
+}
+
 TEST_CASE("control bytes of one request are within budget")
 {
     // identifiers as long on the wire as hashes
--- a/tests/slotfakes.h
+++ b/tests/slotfakes.h
@@ -195,6 +195,7 @@
                 instance->directory.updateMember(record);
             }
         }
+        this->clock.advance(settings.joinWait); // they have run for a while
     }
     FakeInstance &at(MemberId member)
     {
