--- a/src/core/types.h
+++ b/src/core/types.h
@@ -2,6 +2,7 @@
 
 // Identifiers, addresses and byte strings that every package uses.
 
+#include <compare>
 #include <cstdint>
 #include <functional>
 #include <string>
@@ -40,9 +41,9 @@
     uint16_t port = 0;
 
     bool operator==(const Endpoint &) const = default;
-    bool operator<(const Endpoint &other) const
+    std::strong_ordering operator<=>(const Endpoint &other) const
     {
-        return this->key() < other.key();
+        return this->key() <=> other.key();
     }
     /** The address and the port in one number, unique for each endpoint. */
     uint64_t key() const
