Feeds: stories for mechanisms whose removal no test noticed

The story of two members that offer a feed to each other held only one feed; it holds two now, and its messages may cross. A confirmable notification is asserted. The codec's story covers moves of several feeds.

--- a/tests/codec_test.cpp
+++ b/tests/codec_test.cpp
@@ -35,6 +35,28 @@
             }
         }
     }
+    GIVEN("a move of several feeds")
+    {
+        FeedMove move;
+        move.feed = { 7, Endpoint{ 1, 2 }, { 3 }, { 4, 5 }, 6, 8, 9 };
+        move.sender = 10;
+        move.others = { FeedCaller{ { 11, 12 }, { 13 }, 14, {} }, FeedCaller{ { 15, 16 }, {}, 17, { 18 } } };
+        const Bytes wire = encodeMessage(move);
+        const auto back = decodeMessage(wire);
+        REQUIRE(back.has_value());
+        const auto &same = std::get<FeedMove>(*back);
+        CHECK(same.feed.registration == move.feed.registration);
+        CHECK(same.feed.copyHolder == 9);
+        CHECK(same.sender == 10);
+        CHECK(same.others == move.others);
+        for (size_t size = 0; size < wire.size(); ++size) {
+            CHECK_FALSE(decodeMessage(wire.data(), size).has_value());
+        }
+        const auto copy = decodeMessage(encodeMessage(FeedCopy{ move.feed, move.others }));
+        CHECK(std::get<FeedCopy>(copy.value()).others == move.others);
+        const auto taken = decodeMessage(encodeMessage(FeedTaken{ 7, { 1, 2 }, { 3 }, 4, move.others }));
+        CHECK(std::get<FeedTaken>(taken.value()).others == move.others);
+    }
     GIVEN("nested lists")
     {
         HeldReport report;
--- a/tests/feedfakes.h
+++ b/tests/feedfakes.h
@@ -178,6 +178,8 @@
     std::string state = "0";
     std::function<bool()> loseToCaller = [] { return false; };
     std::function<bool()> loseFromTarget = [] { return false; };
+    bool messagesCross = false; // those of one step are delivered after all members took it
+    std::vector<MessageOut> crossing;
 
     explicit FeedWorld(std::vector<MemberId> members)
     {
@@ -318,6 +320,9 @@
                 }
                 carry(id, out);
             }
+            for (const MessageOut &message : std::exchange(crossing, {})) {
+                deliver(message);
+            }
         }
     }
 
@@ -335,7 +340,7 @@
             answer(from, packet);
         }
         for (const MessageOut &message : out.toPeers) {
-            deliver(message);
+            messagesCross ? crossing.push_back(message) : deliver(message);
         }
     }
     void deliver(const MessageOut &sent)
--- a/tests/feedmoves_test.cpp
+++ b/tests/feedmoves_test.cpp
@@ -173,17 +173,27 @@
 TEST_CASE("two members that offer a feed to each other never both drop it")
 {
     FeedWorld world({ 11, 12 });
-    for (const MemberId member : { 11, 12 }) { // each believes that the other one is the only owner
+    for (const MemberId member : { 11, 12 }) { // each opens it as the only one that it knows of
+        world.node(member).directory.states[member == 11 ? 12 : 11] = MemberState::Dead;
         world.get(member, 0);
+    }
+    REQUIRE(world.holders().size() == 2);
+    for (const MemberId member : { 11, 12 }) { // then each believes that the other one is the only owner
         for (const MemberId other : { 11, 12 }) {
             world.node(member).directory.states[other] = other == member ? MemberState::Leaving : MemberState::Alive;
         }
         ++world.node(member).directory.version;
     }
-    for (int i = 0; i < 40; ++i) {
-        world.run(milliseconds(250));
+    world.messagesCross = GENERATE(false, true);
+    for (int i = 0; i < 200; ++i) {
+        world.run(milliseconds(50));
         REQUIRE_FALSE(world.holders().empty());
     }
+    for (const MemberId member : { 11, 12 }) { // the views agree
+        world.tell(member, MemberState::Alive);
+    }
+    world.run(seconds(8));
+    CHECK(world.holders() == std::vector<MemberId>{ world.ownerByView() });
 }
 
 TEST_CASE("after any schedule the caller holds the newest state")
--- /dev/null
+++ b/tests/feedrules_test.cpp
@@ -0,0 +1,221 @@
+#include "feedfakes.h"
+
+#include <catch2/catch.hpp>
+
+using namespace hornbeam;
+
+namespace {
+
+FeedState stateOf(uint16_t port, uint32_t sequence, MemberId owner, const std::string &path)
+{
+    const Bytes get = buildCoap(CoapType::Confirmable, CoapCode::Get, 1, {}, { { optionObserve, {} }, { optionUriPath, optionValue(path) } }, "");
+    const size_t tail = parseCoap(get)->tailOffset;
+    return { board, Endpoint{ 0x0A000001, port }, Bytes{ 5 }, Bytes(get.begin() + static_cast<std::ptrdiff_t>(tail), get.end()), sequence, owner, 0 };
+}
+
+FeedCaller callerOf(const FeedState &state, bool hasText)
+{
+    return { state.caller, state.token, state.sequence, hasText ? state.registration : Bytes{} };
+}
+
+size_t countPath(const Actions &out, const std::string &path)
+{
+    return static_cast<size_t>(std::count_if(out.toTargets.begin(), out.toTargets.end(), [&](const PacketOut &sent) {
+        return std::string(sent.packet.begin(), sent.packet.end()).find(path) != std::string::npos;
+    }));
+}
+
+/** Feeds of a message, offered to another member. */
+size_t countMoved(const Actions &out)
+{
+    size_t moved = 0;
+    for (const MessageOut &sent : out.toPeers) {
+        const auto *move = std::get_if<FeedMove>(&sent.message);
+        moved += move == nullptr ? 0 : 1 + move->others.size();
+    }
+    return moved;
+}
+
+} // namespace
+
+TEST_CASE("several feeds travel in one message")
+{
+    FeedWorld world({ 11 });
+    FeedNode &node = world.node(11);
+    const FeedState first = stateOf(1, 0, 9, "slots");
+    const FeedState second = stateOf(2, 0, 9, "slots");
+    const FeedState third = stateOf(3, 0, 9, "lots/7");
+    const std::vector<FeedCaller> others{ callerOf(second, false), callerOf(third, true) };
+    Actions out;
+
+    SECTION("each is moved with its own text")
+    {
+        node.engine->onMessage(FeedMove{ first, 12, others }, out);
+        REQUIRE(node.engine->open() == 3);
+        node.places.settle(*node.engine, *world.tables.table, {}, out);
+        CHECK(countPath(out, "slots") == 2);
+        CHECK(countPath(out, "lots/7") == 1);
+    }
+    SECTION("each is copied")
+    {
+        node.directory.states[12] = MemberState::Alive;
+        node.directory.states[11] = MemberState::Leaving; // 12 owns them all
+        node.engine->onMessage(FeedCopy{ stateOf(1, 0, 12, "slots"), others }, out);
+        CHECK(node.engine->copies() == 3);
+    }
+    SECTION("each is given up once another member has taken it, and only by the one that it was offered to")
+    {
+        node.engine->onMessage(FeedMove{ first, 12, others }, out);
+        node.directory.states[12] = MemberState::Alive;
+        node.directory.states[11] = MemberState::Leaving;
+        node.engine->onMessage(FeedTaken{ board, first.caller, first.token, 77, others }, out);
+        CHECK(node.engine->open() == 3);
+        node.engine->onMessage(FeedTaken{ board, first.caller, first.token, 12, others }, out);
+        CHECK(node.engine->open() == 0);
+    }
+}
+
+TEST_CASE("a successor's first number is above all that the last owner may have sent")
+{
+    FeedWorld world({ 11 });
+    FeedNode &node = world.node(11);
+    const auto wall = static_cast<uint32_t>(world.clock.wallMillis() & sequenceMask);
+    const uint32_t known = GENERATE(0U, 400U); // nothing, or a clock that was ahead
+    const uint32_t last = known == 0 ? 0 : (wall + known) & sequenceMask;
+    Actions out;
+    node.engine->onMessage(FeedMove{ stateOf(1, last, 9, "slots"), 12, {} }, out);
+    world.caller.answersConfirmable = false;
+    world.run(milliseconds(50));
+    REQUIRE(world.caller.hasState);
+    CHECK(isFresher(world.caller.sequence, (wall + 450) & sequenceMask));
+}
+
+TEST_CASE("a planned leave offers all feeds, paced")
+{
+    ManualClock clock;
+    FakeTables tables;
+    FeedSettings settings;
+    settings.drainTime = seconds(4);
+    FeedNode node(11, settings, tables, clock);
+    for (uint16_t port = 1; port <= 600; ++port) {
+        Actions out;
+        const Bytes get = buildCoap(CoapType::Confirmable, CoapCode::Get, 1, { 5 }, { { optionObserve, {} } }, "");
+        node.engine->onCallerPacket(Relay{ board, Endpoint{ 0x0A000001, port }, 11, 0, get }, *parseCoap(get), out);
+    }
+    REQUIRE(node.engine->open() == 600);
+    node.directory.states[11] = MemberState::Leaving;
+    node.directory.states[12] = MemberState::Alive;
+    ++node.directory.version;
+    std::vector<size_t> moved; // in each second
+    Actions drain;
+    node.engine->beginDrain(drain);
+    for (int tick = 0; tick < 120; ++tick) {
+        Actions out;
+        node.engine->tick(out);
+        clock.advance(milliseconds(50));
+        moved.resize(static_cast<size_t>(tick / 20 + 1));
+        moved.back() += countMoved(out);
+    }
+    CHECK(moved[0] == 0); // the copies come first
+    CHECK(moved[1] > 50);
+    CHECK(moved[1] < 550);
+    CHECK(moved[1] + moved[2] + moved[3] + moved[4] + moved[5] >= 600);
+}
+
+TEST_CASE("copies are bounded")
+{
+    ManualClock clock;
+    FakeTables tables;
+    FeedSettings settings;
+    settings.copyBytes = 16 * 1200;
+    FeedNode node(11, settings, tables, clock);
+    node.directory.states[11] = MemberState::Leaving;
+    node.directory.states[12] = MemberState::Alive;
+    Actions out;
+    for (uint16_t port = 1; port <= 500; ++port) {
+        node.engine->onMessage(FeedCopy{ stateOf(port, 0, 12, "slots"), {} }, out);
+    }
+    CHECK(node.engine->copies() >= 16);
+    CHECK(node.engine->copies() <= 160);
+
+    SECTION("in time: one that nobody refreshes is dropped")
+    {
+        clock.advance(settings.copyLifetime + seconds(1));
+        node.engine->tick(out);
+        CHECK(node.engine->copies() == 0);
+    }
+}
+
+TEST_CASE("what a feed is refused or kept for")
+{
+    FeedWorld world({ 11 });
+    FeedNode &node = world.node(11);
+
+    SECTION("one more than a flow may have")
+    {
+        for (uint8_t token = 0; token <= world.settings.feedsPerFlow; ++token) {
+            world.caller.token = { token };
+            world.get(11, 0);
+        }
+        CHECK(node.engine->open() == world.settings.feedsPerFlow);
+        CHECK(world.caller.state == "not_run: no_slot");
+
+        SECTION("and those of a draining target move away paced")
+        {
+            world.rowAt(world.observed().front()).state = RowState::Draining;
+            ++world.tables.version;
+            world.run(milliseconds(50));
+            CHECK(node.counters.value(RetryReason::TargetDraining) <= 51);
+            world.run(seconds(1));
+            CHECK(node.counters.value(RetryReason::TargetDraining) == world.settings.feedsPerFlow);
+        }
+    }
+    SECTION("a new one at an instance that leaves and knows no other")
+    {
+        Actions out;
+        world.tell(11, MemberState::Leaving);
+        node.engine->beginDrain(out);
+        world.get(11, 0);
+        CHECK(world.caller.state == "not_run: draining");
+        CHECK(node.engine->open() == 0);
+    }
+    SECTION("a new one that no target answers")
+    {
+        for (auto &[endpoint, target] : world.targets) {
+            target.silent = true;
+        }
+        world.get(11, 0);
+        world.run(seconds(60));
+        CHECK(world.caller.last.code == static_cast<uint8_t>(CoapCode::GatewayTimeout));
+        CHECK(node.engine->open() == 0);
+        CHECK(node.places.held.empty());
+    }
+    SECTION("a notification that crosses the caller's cancellation is not its answer")
+    {
+        world.get(11, 0);
+        FakeTarget &target = world.targets[world.observed().front()];
+        const Endpoint endpoint = world.observed().front();
+        const auto observer = *target.observers.begin();
+        target.silent = true;
+        world.get(11, 1);
+        world.notifyFrom(endpoint, observer, 50, "crossed");
+        CHECK(node.engine->open() == 1);
+        CHECK(world.caller.state == "0");
+    }
+    SECTION("a target that resets a registration is asked again soon, not after the timeout")
+    {
+        Actions out;
+        const Bytes get = buildCoap(CoapType::Confirmable, CoapCode::Get, 5, { 7 }, { { optionObserve, {} } }, "");
+        node.engine->onCallerPacket(Relay{ board, world.caller.endpoint, 11, 0, get }, *parseCoap(get), out);
+        node.places.settle(*node.engine, *world.tables.table, {}, out);
+        REQUIRE(out.toTargets.size() == 1);
+        const PacketOut sent = out.toTargets[0];
+        const Bytes reset = buildCoap(CoapType::Reset, CoapCode::Empty, parseCoap(sent.packet)->messageId, {}, {}, "");
+        node.engine->onTargetPacket(sent.endpoint, reset.data(), reset.size(), *parseCoap(reset), out);
+        world.clock.advance(milliseconds(150));
+        Actions later;
+        node.engine->tick(later);
+        REQUIRE(later.toTargets.size() == 1);
+        CHECK(parseCoap(later.toTargets[0].packet)->messageId != parseCoap(sent.packet)->messageId);
+    }
+}
--- a/tests/feeds_test.cpp
+++ b/tests/feeds_test.cpp
@@ -60,6 +60,7 @@
         {
             world.run(seconds(61));
             world.publish("1");
+            CHECK(world.caller.last.type == CoapType::Confirmable);
             const Counters &counters = world.node(owner).counters;
             const uint64_t sent = counters.value(Counter::NotificationsSent);
             CHECK(sent >= 2);
