Feeds: four more stories that a removed mechanism fails

A target that sheds an open feed, a notice taken back, a copy at an entry that is no longer the caller's, and the owner that still serves a feed whose copy was moved: each mutation was unnoticed before and fails now.

--- a/tests/feedrules_test.cpp
+++ b/tests/feedrules_test.cpp
@@ -219,3 +219,62 @@
         CHECK(parseCoap(later.toTargets[0].packet)->messageId != parseCoap(sent.packet)->messageId);
     }
 }
+
+TEST_CASE("an open feed follows its target's word")
+{
+    FeedWorld world({ 11, 12, 13 });
+    const MemberId owner = world.ownerByView();
+    const MemberId entry = world.otherThan(owner);
+    FeedNode &node = world.node(owner);
+    world.get(entry, 0);
+    const Endpoint target = world.observed().front();
+    const auto observer = *world.targets[target].observers.begin();
+    const TargetId id = world.rowAt(target).id;
+    Actions out;
+
+    SECTION("a target that answers the refresh with 5.03 is left, and the caller hears nothing of it")
+    {
+        const Bytes shed = buildCoap(CoapType::NonConfirmable, CoapCode::ServiceUnavailable, 9, observer.token, {}, "shed");
+        world.fromTarget(target, owner, shed);
+        world.run(seconds(3));
+        CHECK(world.caller.state == "0");
+        CHECK(world.holders() == std::vector<MemberId>{ owner });
+        CHECK(world.observed().size() == 2); // the one that shed it was never told
+        world.publish("1");
+        CHECK(world.caller.state == "1");
+    }
+    SECTION("a target that is no longer leaving may be used again")
+    {
+        node.engine->onMessage(TargetNotice{ board, feedZone, id, true, false }, out);
+        node.engine->onMessage(TargetNotice{ board, feedZone, id, false, false }, out);
+        world.run(seconds(1));
+        CHECK(world.observed() == std::vector<Endpoint>{ target });
+    }
+    SECTION("a registration over another entry drops the first one's copy")
+    {
+        const auto third = std::find_if(world.nodes.begin(), world.nodes.end(), [&](const auto &each) { return each.first != owner && each.first != entry; });
+        world.get(third->first, 0);
+        CHECK(world.node(entry).engine->copies() == 0);
+        CHECK(third->second->engine->copies() == 1);
+    }
+    SECTION("the holder of the copy that moves it and the owner that still serves it are both told that it is taken")
+    {
+        FeedWorld other({ 21 });
+        other.node(21).directory.states[31] = MemberState::Leaving;
+        other.node(21).engine->onMessage(FeedMove{ stateOf(1, 0, 31, "slots"), 32, {} }, out);
+        Actions settled;
+        other.node(21).places.settle(*other.node(21).engine, *other.tables.table, {}, settled);
+        REQUIRE(settled.toTargets.size() == 1);
+        const auto get = parseCoap(settled.toTargets[0].packet);
+        const Bytes answer = buildCoap(CoapType::Acknowledgement, CoapCode::Content, get->messageId, get->token, { { optionObserve, optionValue(1U) } }, "1");
+        other.fromTarget(settled.toTargets[0].endpoint, 21, answer);
+        Actions told;
+        other.node(21).engine->tick(told);
+        std::set<MemberId> receivers;
+        for (const MessageOut &sent : told.toPeers) {
+            CHECK(std::holds_alternative<FeedTaken>(sent.message));
+            receivers.insert(sent.peer);
+        }
+        CHECK(receivers == std::set<MemberId>{ 31, 32 });
+    }
+}
