--- a/src/apps/daemon.cpp
+++ b/src/apps/daemon.cpp
@@ -42,13 +42,6 @@
     return self;
 }
 
-NodeSettings nodeSettings(const DaemonSettings &settings)
-{
-    NodeSettings node;
-    node.drainLimit = seconds(settings.drainSeconds);
-    return node;
-}
-
 bool isRelay(const PeerMessage &message)
 {
     return std::holds_alternative<Relay>(message);
@@ -62,7 +55,7 @@
     Impl(const DaemonSettings &settings, const std::vector<Bytes> &keys)
         : settings(settings)
         , sealer(keys)
-        , node(nodeSettings(settings), selfRecord(settings, this->clock), keys, this->clock, this->counters, std::random_device()())
+        , node(settings.parts, selfRecord(settings, this->clock), keys, this->clock, this->counters, std::random_device()())
         , context(static_cast<int>(settings.workers))
         , services(this->context, settings.address, settings.workers,
                    [this](ServiceId service, const Endpoint &caller, const uint8_t *data, size_t size) { this->onCallerPacket(service, caller, data, size); })
--- a/src/apps/settings.cpp
+++ b/src/apps/settings.cpp
@@ -2,6 +2,8 @@
 
 #include "apps/settings.h"
 
+#include "apps/tunables.h"
+
 #include <algorithm>
 #include <boost/leaf.hpp>
 #include <cctype>
@@ -194,6 +196,8 @@
     readCount(fields, "workers", maxWorkers, settings.workers);
     readCount(fields, "drain_seconds", maxDrainSeconds, settings.drainSeconds);
     readSeeds(fields, settings, checked.faults);
+    readTunables(fields, settings.parts, checked.faults);
+    settings.parts.drainLimit = seconds(settings.drainSeconds);
     fields.finish();
     if (checked.faults.empty()) {
         checked.settings = std::move(settings);
@@ -232,16 +236,17 @@
     for (const PeerSeed &seed : settings.seeds) {
         seeds.push_back({ { "name", seed.name }, { "zone", seed.zone }, { "peer", toString(seed.peer) } });
     }
-    const json object{ { "name", settings.name },
-                       { "zone", settings.zone },
-                       { "address", addressText(settings.address) },
-                       { "peer_port", settings.peerPort },
-                       { "metrics_port", settings.metricsPort },
-                       { "platform", toString(settings.platform) },
-                       { "key_files", settings.keyFiles },
-                       { "workers", settings.workers },
-                       { "drain_seconds", settings.drainSeconds },
-                       { "seeds", seeds } };
+    json object{ { "name", settings.name },
+                 { "zone", settings.zone },
+                 { "address", addressText(settings.address) },
+                 { "peer_port", settings.peerPort },
+                 { "metrics_port", settings.metricsPort },
+                 { "platform", toString(settings.platform) },
+                 { "key_files", settings.keyFiles },
+                 { "workers", settings.workers },
+                 { "drain_seconds", settings.drainSeconds },
+                 { "seeds", seeds } };
+    writeTunables(settings.parts, object);
     return object.dump(2, ' ', false, json::error_handler_t::replace) + "\n";
 }
 
--- a/src/apps/settings.h
+++ b/src/apps/settings.h
@@ -4,6 +4,7 @@
 
 #include "core/jsonfields.h"
 #include "core/types.h"
+#include "node/node.h"
 
 #include <iosfwd>
 #include <optional>
@@ -32,6 +33,7 @@
     uint32_t workers = 2;              // threads, 1 to 256
     uint32_t drainSeconds = 30;        // at most, from SIGTERM to the exit, 1 to 3600
     std::vector<PeerSeed> seeds;       // may be empty
+    NodeSettings parts;                // tunables of the parts; drainLimit follows drainSeconds
 };
 
 /** Either settings, or all faults that were found. */
--- /dev/null
+++ b/src/apps/tunables.cpp
@@ -0,0 +1,125 @@
+#include "tunables.h"
+
+#include <nlohmann/json.hpp>
+
+namespace hornbeam {
+
+namespace {
+
+/** One number of the settings; durations are in ms. */
+struct Tunable
+{
+    const char *group;
+    const char *key;
+    uint64_t low;
+    uint64_t high;
+    uint64_t (*get)(const NodeSettings &node);
+    void (*set)(NodeSettings &node, uint64_t number);
+};
+
+uint64_t toNumber(Duration duration)
+{
+    return static_cast<uint64_t>(std::chrono::duration_cast<milliseconds>(duration).count());
+}
+
+template<typename Number>
+uint64_t toNumber(Number number)
+{
+    return static_cast<uint64_t>(number);
+}
+
+void assign(Duration &field, uint64_t number)
+{
+    field = milliseconds(number);
+}
+
+template<typename Number>
+void assign(Number &field, uint64_t number)
+{
+    field = static_cast<Number>(number);
+}
+
+template<auto Part, auto Field>
+constexpr Tunable tunable(const char *group, const char *key, uint64_t low, uint64_t high)
+{
+    return { group,
+             key,
+             low,
+             high,
+             [](const NodeSettings &node) { return toNumber(node.*Part.*Field); },
+             [](NodeSettings &node, uint64_t number) { assign(node.*Part.*Field, number); } };
+}
+
+constexpr uint64_t maxBytes = 1ULL << 30U;
+constexpr uint64_t hourMs = 3600'000;
+
+constexpr Tunable tunables[] = {
+    tunable<&NodeSettings::requests, &RequestSettings::queuePatience>("requests", "queue_patience_ms", 1, 60000),
+    tunable<&NodeSettings::requests, &RequestSettings::answerPatience>("requests", "answer_patience_ms", 1, 120000),
+    tunable<&NodeSettings::requests, &RequestSettings::attemptPatience>("requests", "attempt_patience_ms", 1, 120000),
+    tunable<&NodeSettings::requests, &RequestSettings::maxRecordBytes>("requests", "record_bytes", 1U << 20U, maxBytes),
+    tunable<&NodeSettings::requests, &RequestSettings::maxInProgress>("requests", "max_in_progress", 1, 1U << 20U),
+    tunable<&NodeSettings::requests, &RequestSettings::maxRetries>("requests", "max_retries", 0, 10),
+    tunable<&NodeSettings::feeds, &FeedSettings::silence>("feeds", "silence_ms", 1000, hourMs),
+    tunable<&NodeSettings::feeds, &FeedSettings::answerAttempts>("feeds", "answer_attempts", 1, 10),
+    tunable<&NodeSettings::feeds, &FeedSettings::confirmInterval>("feeds", "confirm_interval_ms", 1000, 24 * hourMs),
+    tunable<&NodeSettings::feeds, &FeedSettings::confirmAttempts>("feeds", "confirm_attempts", 1, 10),
+    tunable<&NodeSettings::feeds, &FeedSettings::moveBytesPerSecond>("feeds", "move_bytes_per_second", 100, 1'000'000),
+    tunable<&NodeSettings::feeds, &FeedSettings::copyBytes>("feeds", "copy_bytes", 1U << 20U, maxBytes),
+    tunable<&NodeSettings::keeper, &KeeperSettings::rebuildWait>("slots", "rebuild_wait_ms", 100, 60000),
+    tunable<&NodeSettings::keeper, &KeeperSettings::coldStart>("slots", "cold_start_ms", 1, 10 * 60000),
+    tunable<&NodeSettings::keeper, &KeeperSettings::mostEjectedPercent>("slots", "most_ejected_percent", 0, 100),
+    tunable<&NodeSettings::keeper, &KeeperSettings::boundedLoadPercent>("slots", "bounded_load_percent", 100, 1000),
+    tunable<&NodeSettings::membership, &MembershipSettings::probeInterval>("membership", "probe_interval_ms", 100, 5000),
+    tunable<&NodeSettings::membership, &MembershipSettings::probeTimeout>("membership", "probe_timeout_ms", 10, 4999),
+    tunable<&NodeSettings::membership, &MembershipSettings::suspicion>("membership", "suspicion_ms", 500, 30000),
+    tunable<&NodeSettings::membership, &MembershipSettings::digestInterval>("membership", "digest_interval_ms", 200, 10000),
+    tunable<&NodeSettings::membership, &MembershipSettings::zoneSilence>("membership", "zone_silence_ms", 601, 60000),
+    tunable<&NodeSettings::membership, &MembershipSettings::indirectProbes>("membership", "indirect_probes", 1, 10),
+};
+
+/** What the ranges of single values can't say. */
+void checkTogether(const std::string &group, const NodeSettings &node, JsonFields &part)
+{
+    if (group == "requests" && node.requests.attemptPatience > node.requests.answerPatience) {
+        part.fault("attempt_patience_ms", "at most answer_patience_ms");
+    }
+    if (group == "membership" && node.membership.probeTimeout >= node.membership.probeInterval) {
+        part.fault("probe_timeout_ms", "less than probe_interval_ms");
+    }
+    if (group == "membership" && node.membership.zoneSilence <= 3 * node.membership.digestInterval) {
+        part.fault("zone_silence_ms", "more than 3 times digest_interval_ms");
+    }
+}
+
+} // namespace
+
+void readTunables(JsonFields &fields, NodeSettings &node, std::vector<Fault> &faults)
+{
+    for (const std::string group : { "requests", "feeds", "slots", "membership" }) {
+        const nlohmann::json *object = fields.object(group);
+        if (object == nullptr) {
+            continue;
+        }
+        JsonFields part(*object, group, faults);
+        for (const Tunable &row : tunables) {
+            if (group != row.group) {
+                continue;
+            }
+            uint64_t number = row.get(node);
+            part.number(row.key, row.low, row.high, number);
+            row.set(node, number);
+        }
+        checkTogether(group, node, part);
+        part.finish();
+    }
+}
+
+void writeTunables(const NodeSettings &node, nlohmann::json &object)
+{
+    for (const Tunable &row : tunables) {
+        object[row.group][row.key] = row.get(node);
+    }
+}
+
+} // namespace hornbeam
--- /dev/null
+++ b/tests/daemon_test.cpp
@@ -0,0 +1,208 @@
+#include "core/coap.h"
+#include "platform/blockingplatform.h"
+#include "system.h"
+#include "table/tableparser.h"
+
+#include <catch2/catch.hpp>
+
+using namespace hornbeam;
+
+namespace {
+
+/** A caller's GET of one item, with an option of `padding` bytes. */
+Bytes getItem(uint16_t messageId, size_t padding = 0)
+{
+    const std::vector<CoapOption> options{ { optionUriPath, optionValue("booking") }, { optionUriPath, optionValue("item") } };
+    const std::string payload(padding, 'x');
+    return buildCoap(CoapType::Confirmable, CoapCode::Get, messageId, { 1, 2 }, options, payload);
+}
+
+/** The code of the answer to a packet; 0 when none comes. */
+uint8_t answerCode(const Endpoint &to, const Bytes &packet)
+{
+    RawSocket socket(SOCK_DGRAM);
+    socket.connect(to);
+    socket.send(packet);
+    const auto answer = parseCoap(socket.receiveAndConnect());
+    return answer.has_value() ? answer->code : 0;
+}
+
+bool isServed(const std::string &balancer)
+{
+    return eventually(seconds(8), [&] { return answerCode(System::addressOf(balancer, 25683), getItem(7)) == static_cast<uint8_t>(CoapCode::Content); });
+}
+
+void checkCallers(const std::string &report)
+{
+    INFO(report);
+    CHECK(sumOf(report, "answered") > 0);
+    CHECK(sumOf(report, "lost") == 0);
+    CHECK(sumOf(report, "torn") == 0);
+    CHECK(sumOf(report, "broken_feeds") == 0);
+}
+
+void checkTargets(const std::string &report)
+{
+    INFO(report);
+    CHECK(sumOf(report, "executions") > 0);
+    CHECK(sumOf(report, "doubled") == 0);
+    CHECK(sumOf(report, "misdelivered") == 0);
+}
+
+}
+
+TEST_CASE("the whole path serves callers while an instance is replaced and the table is edited", "[endtoend]")
+{
+    System system;
+    REQUIRE(system.startAll());
+    const auto booking = system.startCallers("booking", { "--reads", "3", "--orders", "3", "--feeds", "8", "--seconds", "8" });
+    const auto catalogue = system.startCallers("catalogue", { "--reads", "1", "--brochures", "1", "--seconds", "8" });
+    REQUIRE(eventually(seconds(5), [&] {
+        return system.value("e1", "hornbeam_feeds_open") + system.value("e2", "hornbeam_feeds_open") + system.value("e3", "hornbeam_feeds_open") >= 8;
+    }));
+
+    // an edit is in force everywhere within 5 s
+    REQUIRE(system.ctl({ "set", "booking", "b1", "weight", "50" }) == 0);
+    CHECK(system.ctl({ "wait", "booking", "--timeout", "5" }) == 0);
+
+    // a planned stop under load
+    system.balancers.at("e1")->sendSignal(SIGTERM);
+    CHECK(system.balancers.at("e1")->wait() == 0);
+    system.spray({ "e2", "e3" });
+
+    // a bad row is refused, the table in force stays
+    const int64_t inForce = system.value("e2", "hornbeam_table_version{service=\"booking\"}");
+    BlockingPlatform platform(endpointOf(system.platform.address), seconds(5));
+    const PlatformReply present = platform.get(tableKey("booking"));
+    REQUIRE(present.isOk());
+    std::string bad = present.objects.at(0).value;
+    const size_t weight = bad.find("\"weight\":");
+    REQUIRE(weight != std::string::npos);
+    bad.insert(weight + std::string("\"weight\":").size(), "-");
+    REQUIRE(platform.put(tableKey("booking"), bad, PutCondition::ifVersion(present.version)).isOk());
+    CHECK(eventually(seconds(5),
+                     [&] { return system.value("e2", "hornbeam_table_rows_rejected_total") + system.value("e3", "hornbeam_table_rows_rejected_total") > 0; }));
+    CHECK(system.value("e2", "hornbeam_table_version{service=\"booking\"}") == inForce);
+
+    checkCallers(booking->readAll());
+    checkCallers(catalogue->readAll());
+    CHECK(system.value("e2", "hornbeam_added_latency_seconds_count") > 0);
+    checkTargets(system.endTargets());
+}
+
+TEST_CASE("feeds go on when an instance is killed and another one freezes", "[endtoend]")
+{
+    System system;
+    REQUIRE(system.startAll());
+    const auto booking = system.startCallers("booking", { "--reads", "2", "--orders", "2", "--feeds", "8", "--seconds", "16" });
+    REQUIRE(eventually(seconds(5), [&] {
+        return system.value("e1", "hornbeam_feeds_open") + system.value("e2", "hornbeam_feeds_open") + system.value("e3", "hornbeam_feeds_open") >= 8;
+    }));
+    system.balancers.at("e1")->sendSignal(SIGKILL);
+    CHECK(system.balancers.at("e1")->wait() == -1);
+    system.spray({ "e2", "e3" });
+    CHECK(eventually(seconds(10), [&] { return system.value("e2", "hornbeam_members{state=\"dead\"}") == 1; }));
+
+    system.balancers.at("e2")->sendSignal(SIGSTOP);
+    system.spray({ "e3" });
+    CHECK(eventually(seconds(10), [&] { return system.value("e3", "hornbeam_members{state=\"dead\"}") == 2; }));
+    system.balancers.at("e2")->sendSignal(SIGCONT);
+    CHECK(eventually(seconds(10), [&] { return system.value("e3", "hornbeam_members{state=\"alive\"}") == 2; }));
+    system.spray({ "e2", "e3" });
+
+    checkCallers(booking->readAll());
+    checkTargets(system.endTargets());
+}
+
+TEST_CASE("malformed packets on each port are counted, and traffic goes on", "[endtoend]")
+{
+    System system;
+    system.startBalancer("e1");
+    REQUIRE(isServed("e1"));
+    const Bytes noise{ 0xFF, 0x00, 0x13, 0x37 };
+
+    SECTION("on a service's port: truncated, oversized")
+    {
+        CHECK(answerCode(System::addressOf("e1", 25683), Bytes{ 0x44, 1 }) == 0);
+        CHECK(answerCode(System::addressOf("e1", 25683), getItem(8, 2000)) == static_cast<uint8_t>(CoapCode::TooLarge));
+        CHECK(system.value("e1", "hornbeam_refusals_total{reason=\"malformed_packet\"}") == 1);
+        CHECK(system.value("e1", "hornbeam_refusals_total{reason=\"message_too_large\"}") == 1);
+    }
+    SECTION("on the peer port: unsigned datagrams and streams")
+    {
+        RawSocket datagram(SOCK_DGRAM);
+        datagram.connect(System::addressOf("e1", 27946));
+        datagram.send(noise);
+        datagram.send(Bytes(60000, 1));
+        CHECK(eventually(seconds(5), [&] { return system.value("e1", "hornbeam_peer_packets_rejected_total") == 2; }));
+        RawSocket stream(SOCK_STREAM);
+        REQUIRE(stream.connect(System::addressOf("e1", 27946)));
+        stream.send(Bytes(5000, 0x41));
+    }
+    SECTION("on the port of the counters")
+    {
+        RawSocket stream(SOCK_STREAM);
+        REQUIRE(stream.connect(System::addressOf("e1", 29464)));
+        stream.send(Bytes(5000, 0x41));
+    }
+    SECTION("on the target socket, by a target that answers probes with noise")
+    {
+        RawSocket target(SOCK_DGRAM, endpointOf("127.0.6.20:27000"));
+        REQUIRE(system.ctl({ "add", "booking", "b9", "address=127.0.6.20:27000", "zone=kl-1" }) == 0);
+        REQUIRE(eventually(seconds(5), [&] { return !target.receiveAndConnect().empty(); })); // a probe
+        target.send(noise);
+        CHECK(eventually(seconds(5), [&] { return system.value("e1", "hornbeam_refusals_total{reason=\"malformed_packet\"}") == 1; }));
+    }
+    CHECK(isServed("e1"));
+}
+
+TEST_CASE("signals and settings of hornbeamd", "[endtoend]")
+{
+    SECTION("bad settings end it with 2 and name the fields")
+    {
+        const std::string path = "/tmp/hornbeam_bad_" + std::to_string(::getpid()) + ".json";
+        std::ofstream(path) << R"({"name":"e1","workers":0,"worker":3})";
+        ChildProcess child("hornbeamd", { "--settings", path });
+        const std::string text = child.readAll();
+        CHECK(child.wait() == 2);
+        for (const char *field : { "workers", "worker", "zone", "platform", "key_files" }) {
+            CHECK(text.find(field) != std::string::npos);
+        }
+        std::remove(path.c_str());
+    }
+    SECTION("a second SIGTERM ends it at once, a SIGHUP reads the keys anew")
+    {
+        System system;
+        system.startBalancer("e1");
+        ChildProcess &child = *system.balancers.at("e1");
+        const auto awaitLine = [&child](const std::string &text) {
+            std::string line = child.readLine();
+            while (!line.empty() && line.find(text) == std::string::npos) {
+                line = child.readLine();
+            }
+            return !line.empty();
+        };
+        std::ofstream(system.keyFile()) << "short";
+        child.sendSignal(SIGHUP);
+        CHECK(awaitLine("keys=kept"));
+        std::ofstream(system.keyFile()) << "101112131415161718191a1b1c1d1e1f";
+        child.sendSignal(SIGHUP);
+        CHECK(awaitLine("keys=reloaded count=1"));
+        child.sendSignal(SIGTERM);
+        CHECK(awaitLine("state=draining"));
+        child.sendSignal(SIGTERM);
+        CHECK(child.wait() == 1);
+    }
+}
+
+TEST_CASE("an instance that starts while the platform is out gets the tables from its peers", "[endtoend]")
+{
+    System system;
+    system.startBalancer("e1");
+    REQUIRE(eventually(seconds(10), [&] { return system.hasTables("e1"); }));
+    system.setOutage(true);
+    REQUIRE(eventually(seconds(10), [&] { return system.value("e1", "hornbeam_platform_reachable") == 0; }));
+    system.startBalancer("e2");
+    CHECK(eventually(seconds(15), [&] { return system.hasTables("e2"); }));
+    CHECK(isServed("e2"));
+}
--- a/tests/settings_test.cpp
+++ b/tests/settings_test.cpp
@@ -77,6 +77,14 @@
             { R"({"seeds":[{"name":"a","zone":"z","peer":"x"}]})", "seeds[0].peer", "\"x\"", "a.b.c.d:port" },
             { R"({"seeds":[{"name":"a","peer":"127.0.0.1:1"}]})", "seeds[0].zone", "missing", "a name" },
             { R"({"seeds":[{"name":"a","zone":"z","peer":"127.0.0.1:1","port":1}]})", "seeds[0].port", "1", "name, zone, peer" },
+            { R"({"requests":7})", "requests", "7", "object" },
+            { R"({"requests":{"queue_patience_ms":0}})", "requests.queue_patience_ms", "0", "1 to 60000" },
+            { R"({"requests":{"answer_patience_ms":1000}})", "requests.attempt_patience_ms", "2000", "at most answer_patience_ms" },
+            { R"({"feeds":{"silence_ms":10}})", "feeds.silence_ms", "10", "1000 to 3600000" },
+            { R"({"slots":{"most_ejected_percent":101}})", "slots.most_ejected_percent", "101", "0 to 100" },
+            { R"({"slots":{"speed":1}})", "slots.speed", "1", "most_ejected_percent" },
+            { R"({"membership":{"probe_timeout_ms":500}})", "membership.probe_timeout_ms", "500", "less than probe_interval_ms" },
+            { R"({"membership":{"zone_silence_ms":2000}})", "membership.zone_silence_ms", "2000", "3 times" },
             { R"({"worker":3})", "worker", "3", "workers" },
         };
         for (const Row &row : rows) {
