--- a/src/apps/tunables.cpp
+++ b/src/apps/tunables.cpp
@@ -52,6 +52,7 @@
 
 constexpr uint64_t maxBytes = 1ULL << 30U;
 constexpr uint64_t hourMs = 3600'000;
+constexpr uint64_t minuteMs = 60'000;
 
 constexpr Tunable tunables[] = {
     tunable<&NodeSettings::requests, &RequestSettings::queuePatience>("requests", "queue_patience_ms", 1, 60000),
@@ -67,7 +68,7 @@
     tunable<&NodeSettings::feeds, &FeedSettings::moveBytesPerSecond>("feeds", "move_bytes_per_second", 100, 1'000'000),
     tunable<&NodeSettings::feeds, &FeedSettings::copyBytes>("feeds", "copy_bytes", 1U << 20U, maxBytes),
     tunable<&NodeSettings::keeper, &KeeperSettings::rebuildWait>("slots", "rebuild_wait_ms", 100, 60000),
-    tunable<&NodeSettings::keeper, &KeeperSettings::coldStart>("slots", "cold_start_ms", 1, 10 * 60000),
+    tunable<&NodeSettings::keeper, &KeeperSettings::coldStart>("slots", "cold_start_ms", 1, 10 * minuteMs),
     tunable<&NodeSettings::keeper, &KeeperSettings::mostEjectedPercent>("slots", "most_ejected_percent", 0, 100),
     tunable<&NodeSettings::keeper, &KeeperSettings::boundedLoadPercent>("slots", "bounded_load_percent", 100, 1000),
     tunable<&NodeSettings::membership, &MembershipSettings::probeInterval>("membership", "probe_interval_ms", 100, 5000),
--- a/src/core/histogram.cpp
+++ b/src/core/histogram.cpp
@@ -41,11 +41,12 @@
     uint64_t total = 0;
     for (size_t i = 0; i < this->buckets.size(); ++i) {
         total += this->buckets.at(i).load(std::memory_order_relaxed);
-        const std::string bound = i < bounds.size() ? secondsText(bounds.at(i)) : "+Inf";
-        out += prefix + "_bucket{le=\"" + bound + "\"} " + std::to_string(total) + "\n";
+        out.append(prefix).append("_bucket{le=\"").append(i < bounds.size() ? secondsText(bounds.at(i)) : "+Inf").append("\"} ");
+        out.append(std::to_string(total)).append("\n");
     }
-    out += prefix + "_sum " + secondsText(this->sumUs.load(std::memory_order_relaxed)) + "\n";
-    return out + prefix + "_count " + std::to_string(total) + "\n";
+    out.append(prefix).append("_sum ").append(secondsText(this->sumUs.load(std::memory_order_relaxed))).append("\n");
+    out.append(prefix).append("_count ").append(std::to_string(total)).append("\n");
+    return out;
 }
 
 } // namespace hornbeam
--- a/tests/seal_test.cpp
+++ b/tests/seal_test.cpp
@@ -30,6 +30,13 @@
         CHECK(during.verify(text.data(), text.size(), before.sign(text.data(), text.size())));
         CHECK(after.verify(text.data(), text.size(), during.sign(text.data(), text.size())));
     }
+    SECTION("a ring whose keys are replaced signs with the new one and forgets the old one")
+    {
+        KeyRing ring({ oldKey });
+        ring.update({ newKey });
+        CHECK(ring.sign(text.data(), text.size()) == after.sign(text.data(), text.size()));
+        CHECK_FALSE(ring.verify(text.data(), text.size(), before.sign(text.data(), text.size())));
+    }
     SECTION("a retired key and a changed text are refused")
     {
         CHECK_FALSE(after.verify(text.data(), text.size(), before.sign(text.data(), text.size())));
