--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -54,8 +54,10 @@
     , sync(this->tableStore, this->membership, clock, counters)
     , slotClient(settings.slotClient, this->membership, this->tableStore, clock, counters)
     , keeper(settings.keeper, this->membership, this->tableStore, clock, counters)
-    , requestEngine(settings.requests, this->membership, this->tableStore, this->slotClient, clock, counters, this->keyRing)
-    , feedEngine(settings.feeds, this->membership, this->tableStore, this->slotClient, clock, counters)
+    , otherPlaces(settings.placeClient ? settings.placeClient(this->membership, this->tableStore, this->requestEngine, this->feedEngine) : nullptr)
+    , places(this->otherPlaces ? *this->otherPlaces : this->slotClient)
+    , requestEngine(settings.requests, this->membership, this->tableStore, this->places, clock, counters, this->keyRing)
+    , feedEngine(settings.feeds, this->membership, this->tableStore, this->places, clock, counters)
 {
     this->slotClient.setListeners(this->requestEngine, this->feedEngine);
 }
@@ -201,7 +203,7 @@
     this->membership.tick(out);
     this->sync.tick(this->membership.takeTableDiffering(), out);
     this->keeper.tick(out);
-    this->slotClient.tick(out);
+    this->places.tick(out);
     this->requestEngine.tick(out);
     this->feedEngine.tick(out);
     this->advanceDrain(out);
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -18,10 +18,16 @@
 #include "table/tablesync.h"
 
 #include <atomic>
+#include <functional>
+#include <memory>
 #include <string>
 
 namespace hornbeam {
 
+/** Makes another client of places than SlotClient. The listeners are not to be called before the first tick. */
+using PlaceClientFactory =
+    std::function<std::unique_ptr<PlaceClient>(const MemberDirectory &, const TableSource &, PlaceListener &requests, PlaceListener &feeds)>;
+
 struct NodeSettings
 {
     MembershipSettings membership;
@@ -29,6 +35,7 @@
     SlotClientSettings slotClient;
     RequestSettings requests;
     FeedSettings feeds;
+    PlaceClientFactory placeClient;             // for comparisons; SlotClient when empty
     Duration drainLimit = seconds(30);          // time that a planned stop waits for requests in progress and for feeds to move, s
     Duration recordsLinger = milliseconds(500); // time that the record handover has before the instance leaves, ms
 };
@@ -113,6 +120,8 @@
     TableSync sync;
     SlotClient slotClient;
     Keeper keeper;
+    std::unique_ptr<PlaceClient> otherPlaces; // in place of slotClient
+    PlaceClient &places;
     RequestEngine requestEngine;
     FeedEngine feedEngine;
     std::atomic<uint64_t> toldDigest{ 0 };
--- a/src/slots/places.h
+++ b/src/slots/places.h
@@ -48,6 +48,10 @@
     virtual void beginPlace(const PlaceWant &want, Actions &out) = 0;
     /** Gives a place back, or withdraws a wish (outcome Cancelled). Unknown requests are ignored. */
     virtual void endPlace(uint64_t request, SlotOutcome outcome, Duration latency, Actions &out) = 0;
+    /** Does what is due. To be called every 50 ms or less. */
+    virtual void tick(Actions &)
+    {
+    }
 };
 
 } // namespace hornbeam
--- a/src/slots/slotclient.h
+++ b/src/slots/slotclient.h
@@ -45,7 +45,7 @@
 
     //--- Periodic work
     /** Repeats asks, ends wishes whose patience is over, reports to new keepers. To be called every 50 ms or less. */
-    void tick(Actions &out);
+    void tick(Actions &out) override;
     /** Places held now. */
     size_t heldCount() const;
 
