--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -83,7 +83,9 @@
         this->counters.refuse(Reason::MalformedPacket);
         return;
     }
-    if (isFeedPacket(*message)) {
+    if (origin.packet.size() > maxCallerPacketBytes) {
+        this->requestEngine.refuseTooLarge(origin, *message, out);
+    } else if (isFeedPacket(*message)) {
         this->feedEngine.onCallerPacket(origin, *message, out);
     } else if (message->isRequest()) {
         this->requestEngine.onCallerPacket(origin, *message, out);
@@ -223,8 +225,7 @@
 
 void Node::beginDrain(Actions &out)
 {
-    NodeState expected = NodeState::Serving;
-    if (!this->drainState.compare_exchange_strong(expected, NodeState::Draining)) {
+    if (this->isDrainBegun.exchange(true)) {
         return;
     }
     this->drainStartedAt = this->clock.now();
@@ -232,6 +233,7 @@
     this->membership.beginLeave(out);
     this->requestEngine.beginDrain(out);
     this->feedEngine.beginDrain(out);
+    this->drainState = NodeState::Draining; // last: a tick of another thread goes by what is set above
     this->deliverOwn(out);
 }
 
@@ -284,6 +286,26 @@
     return this->membership.tableAgreement();
 }
 
+void Node::updateKeys(const std::vector<Bytes> &keys)
+{
+    this->keyRing.update(keys);
+}
+
+std::vector<MemberRecord> Node::members() const
+{
+    return this->membership.members();
+}
+
+size_t Node::placesHeld() const
+{
+    return this->slotClient.heldCount();
+}
+
+KeeperLoad Node::keeperLoad() const
+{
+    return this->keeper.load();
+}
+
 std::optional<Endpoint> Node::endpointOf(MemberId member) const
 {
     return this->membership.endpointOf(member);
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -49,7 +49,7 @@
 
 std::string_view nameOf(NodeState state);
 
-/** All methods are thread safe. Actions are to be carried out by the caller after the method returns. */
+/** Thread safe but for tick(), which one thread at a time may call. Actions are to be carried out by the caller after the method returns. */
 class Node
 {
 public:
@@ -76,7 +76,7 @@
 
     //--- Time
 
-    /** Runs all timers. To be called every 20 ms or so. */
+    /** Runs all timers. To be called every 20 ms or so. Precondition: no other thread is in it. */
     void tick(Actions &out);
 
     //--- Planned stop
@@ -88,6 +88,9 @@
     /** Tells the zone that this instance is gone. Precondition: the last call. */
     void endDrain(Actions &out);
 
+    /** Puts other keys in force for Echo values. Precondition: one or two. */
+    void updateKeys(const std::vector<Bytes> &keys);
+
     //--- Debugging
 
     /** Members, tables in force, keeper state, requests and feeds, as text. */
@@ -97,6 +100,12 @@
     TableAgreement tableAgreement() const;
     /** Where to send a message for a member or a listed instance; nothing when it is neither. */
     std::optional<Endpoint> endpointOf(MemberId member) const;
+    /** Every member known, of all zones and states. */
+    std::vector<MemberRecord> members() const;
+    /** Request slots and feed places that this instance holds at targets. */
+    size_t placesHeld() const;
+    /** What this instance hands out as a keeper. */
+    KeeperLoad keeperLoad() const;
     const MemberDirectory &directory() const;
     const TableStore &tables() const;
     const TableSync &tableSync() const;
@@ -125,9 +134,10 @@
     RequestEngine requestEngine;
     FeedEngine feedEngine;
     std::atomic<uint64_t> toldDigest{ 0 };
+    std::atomic<bool> isDrainBegun{ false };
     std::atomic<NodeState> drainState{ NodeState::Serving };
-    TimePoint drainStartedAt;
-    TimePoint handedOverAt;
+    TimePoint drainStartedAt; // written before drainState leaves Serving, read by the tick after it
+    TimePoint handedOverAt;   // only the tick reads and writes it
 };
 
 } // namespace hornbeam
--- a/src/requests/requestengine.cpp
+++ b/src/requests/requestengine.cpp
@@ -84,9 +84,7 @@
     }
     const Reason fault = this->admissionFault(origin.service, message);
     if (fault != Reason::None) {
-        // a copy of the packet may have reached another instance and changed something there
-        const bool isSafe = message.code == static_cast<uint8_t>(CoapCode::Get);
-        this->refuseUnstarted(exchange, isSafe ? Verdict::NotRun : Verdict::MayHaveRun, fault, out);
+        this->refuseUnstarted(exchange, Verdict::MayHaveRun, fault, out); // a copy of the packet may have run from another instance
         return;
     }
     this->beginRequest(shard, this->makeRequest(exchange, std::move(content), message), out);
@@ -136,7 +134,8 @@
     if (message.deadlineMs.has_value()) {
         patience = std::min<Duration>(patience, milliseconds(*message.deadlineMs));
     }
-    request.deadline = this->clock.now() + patience;
+    request.arrivedAt = this->clock.now();
+    request.deadline = request.arrivedAt + patience;
     return request;
 }
 
@@ -146,6 +145,14 @@
     this->answer(exchange, refusalContent(verdict, reason, this->settings.retryAfter), out);
 }
 
+void RequestEngine::refuseTooLarge(const Relay &origin, const CoapMessage &message, Actions &out)
+{
+    this->counters.refuse(Reason::MessageTooLarge);
+    if (message.isRequest()) {
+        this->answer(this->exchangeOf(origin, message), tooLargeContent(), out);
+    }
+}
+
 void RequestEngine::answer(const CallerExchange &exchange, const AnswerContent &content, Actions &out)
 {
     sendAnswer(exchange, content, ++this->callerMessageId, out);
