--- a/bench/policybaselines.cpp
+++ b/bench/policybaselines.cpp
@@ -53,8 +53,8 @@
 
 void BaselinePlaces::tick(Actions &out)
 {
-    std::vector<Wish> waiting = std::exchange(this->wishes, {});
-    for (Wish &wish : waiting) {
+    const std::vector<Wish> waiting = std::exchange(this->wishes, {});
+    for (const Wish &wish : waiting) {
         const PlaceWant &want = wish.want;
         PlaceListener &listener = (want.request & feedRequestBit) != 0 ? this->feeds : this->requests;
         const auto table = this->tables.find(want.service);
@@ -66,7 +66,7 @@
         } else if (this->clock.now() >= wish.deadline) {
             listener.placeRefused(want.request, table == nullptr ? Reason::NoTable : Reason::QueueDeadline, Duration::zero(), out);
         } else {
-            this->wishes.push_back(std::move(wish));
+            this->wishes.push_back(wish);
         }
     }
 }
--- a/bench/policymain.cpp
+++ b/bench/policymain.cpp
@@ -301,6 +301,7 @@
     const Ledger &ledger = run.world->ledger();
     const TimePoint now = run.world->time().now();
     const auto told = [&ledger](Outcome outcome) { return ledger.requests.at(static_cast<size_t>(outcome)); };
+    const uint64_t refused = told(Outcome::NotRun) + told(Outcome::Failed);
     uint64_t doubled = 0;
     uint64_t falseNotRun = 0;
     for (const auto &[identity, order] : ledger.orders) {
@@ -324,7 +325,7 @@
     std::printf("%-8s %-10s %-16s answered=%llu refused=%llu may=%llu lost=%llu torn=%llu doubled=%llu false_not_run=%llu broken=%llu/%zu imbalance=%.3f "
                 "shed=%llu in_force_ms=%.0f peer_bytes_s=%.0f :",
                 run.workload.name.c_str(), phase.c_str(), run.variant.c_str(), static_cast<unsigned long long>(told(Outcome::Answered)),
-                static_cast<unsigned long long>(told(Outcome::NotRun) + told(Outcome::Failed)), static_cast<unsigned long long>(told(Outcome::MayHaveRun)),
+                static_cast<unsigned long long>(refused), static_cast<unsigned long long>(told(Outcome::MayHaveRun)),
                 static_cast<unsigned long long>(told(Outcome::Lost)), static_cast<unsigned long long>(told(Outcome::Torn)),
                 static_cast<unsigned long long>(doubled), static_cast<unsigned long long>(falseNotRun), static_cast<unsigned long long>(broken),
                 ledger.feeds.size(), run.windows == 0 ? 0 : run.imbalanceSum / run.windows, static_cast<unsigned long long>(shed), run.inForceMs,
