Signatures: reuse HMAC contexts

HMAC() sets the key anew for each packet, which costs four times the signature itself. A key now keeps a pool of contexts that have it set.

The seal and Echo tests pass unchanged.

--- a/src/peer/keyring.cpp
+++ b/src/peer/keyring.cpp
@@ -1,43 +1,102 @@
 #include "peer/keyring.h"
 
 #include <array>
+#include <glog/logging.h>
+#include <mutex>
+#include <openssl/core_names.h>
 #include <openssl/evp.h>
-#include <openssl/hmac.h>
 
 namespace hornbeam {
 
 namespace {
 
-uint64_t signatureBy(const Bytes &key, const uint8_t *data, size_t size)
+struct FreeMac
 {
-    std::array<uint8_t, EVP_MAX_MD_SIZE> digest{};
-    unsigned digestBytes = 0;
-    HMAC(EVP_sha256(), key.data(), static_cast<int>(key.size()), data, size, digest.data(), &digestBytes);
-    uint64_t signature = 0;
-    for (size_t i = 0; i < signatureBytes; ++i) {
-        signature = (signature << 8U) | digest.at(i);
-    }
-    return signature;
-}
+    void operator()(EVP_MAC *mac) const
+    {
+        EVP_MAC_free(mac);
+    }
+    void operator()(EVP_MAC_CTX *context) const
+    {
+        EVP_MAC_CTX_free(context);
+    }
+};
+
+using Mac = std::unique_ptr<EVP_MAC, FreeMac>;
+using MacContext = std::unique_ptr<EVP_MAC_CTX, FreeMac>;
 
 } // namespace
 
-KeyRing::KeyRing(std::vector<Bytes> keys) : keys(std::move(keys))
+/** One key with a pool of contexts that have it set already: setting it costs four times as much as a signature. Thread safe. */
+class KeyRing::Key
 {
-    if (this->keys.size() > maxKeys) {
-        this->keys.resize(maxKeys);
+public:
+    explicit Key(const Bytes &key) : mac(EVP_MAC_fetch(nullptr, OSSL_MAC_NAME_HMAC, nullptr)), keyed(EVP_MAC_CTX_new(this->mac.get()))
+    {
+        std::array<char, 7> digest{ "SHA256" };
+        const std::array<OSSL_PARAM, 2> parameters{ OSSL_PARAM_construct_utf8_string(OSSL_MAC_PARAM_DIGEST, digest.data(), 0), OSSL_PARAM_construct_end() };
+        CHECK(EVP_MAC_init(this->keyed.get(), key.data(), key.size(), parameters.data()) == 1) << "HMAC-SHA256 is not available";
+    }
+
+    uint64_t signature(const uint8_t *data, size_t size)
+    {
+        MacContext context = this->takeContext();
+        std::array<uint8_t, EVP_MAX_MD_SIZE> digest{};
+        size_t digestBytes = 0;
+        const bool good = EVP_MAC_init(context.get(), nullptr, 0, nullptr) == 1 && EVP_MAC_update(context.get(), data, size) == 1
+            && EVP_MAC_final(context.get(), digest.data(), &digestBytes, digest.size()) == 1;
+        CHECK(good) << "HMAC-SHA256 failed"; // an unsigned packet must not be taken for a signed one
+        this->giveBack(std::move(context));
+        uint64_t signature = 0;
+        for (size_t i = 0; i < signatureBytes; ++i) {
+            signature = (signature << 8U) | digest.at(i);
+        }
+        return signature;
+    }
+
+private:
+    MacContext takeContext()
+    {
+        const std::lock_guard lock(this->mutex);
+        if (this->idle.empty()) {
+            return MacContext(EVP_MAC_CTX_dup(this->keyed.get()));
+        }
+        MacContext context = std::move(this->idle.back());
+        this->idle.pop_back();
+        return context;
+    }
+    void giveBack(MacContext context)
+    {
+        const std::lock_guard lock(this->mutex);
+        this->idle.push_back(std::move(context));
+    }
+
+    const Mac mac;
+    const MacContext keyed;
+    std::mutex mutex;
+    std::vector<MacContext> idle; // at most one for each thread that signed at the same time
+};
+
+KeyRing::KeyRing(const std::vector<Bytes> &keys)
+{
+    for (const Bytes &key : keys) {
+        if (this->keys.size() < maxKeys) {
+            this->keys.push_back(std::make_unique<Key>(key));
+        }
     }
 }
 
+KeyRing::~KeyRing() = default;
+
 uint64_t KeyRing::sign(const uint8_t *data, size_t size) const
 {
-    return signatureBy(this->keys.front(), data, size);
+    return this->keys.front()->signature(data, size);
 }
 
 bool KeyRing::verify(const uint8_t *data, size_t size, uint64_t signature) const
 {
-    for (const Bytes &key : this->keys) {
-        const uint64_t difference = signatureBy(key, data, size) ^ signature; // compared as one word, so the time tells nothing
+    for (const auto &key : this->keys) {
+        const uint64_t difference = key->signature(data, size) ^ signature; // compared as one word, so the time tells nothing
         if (difference == 0) {
             return true;
         }
--- a/src/peer/keyring.h
+++ b/src/peer/keyring.h
@@ -5,6 +5,7 @@
 #include "core/types.h"
 
 #include <cstddef>
+#include <memory>
 
 namespace hornbeam {
 
@@ -17,7 +18,10 @@
 {
 public:
     /** The first key signs, all verify. Precondition: one key at least; further ones than maxKeys are left out. */
-    explicit KeyRing(std::vector<Bytes> keys);
+    explicit KeyRing(const std::vector<Bytes> &keys);
+    ~KeyRing();
+    KeyRing(const KeyRing &) = delete;
+    KeyRing &operator=(const KeyRing &) = delete;
 
     /** The signature of `data` by the first key: the first 8 bytes of its HMAC, the first one highest. */
     uint64_t sign(const uint8_t *data, size_t size) const;
@@ -25,7 +29,9 @@
     bool verify(const uint8_t *data, size_t size, uint64_t signature) const;
 
 private:
-    std::vector<Bytes> keys;
+    class Key;
+
+    std::vector<std::unique_ptr<Key>> keys;
 };
 
 } // namespace hornbeam
--- a/src/peer/seal.cpp
+++ b/src/peer/seal.cpp
@@ -2,7 +2,7 @@
 
 namespace hornbeam {
 
-PacketSealer::PacketSealer(std::vector<Bytes> keys) : ring(std::move(keys))
+PacketSealer::PacketSealer(const std::vector<Bytes> &keys) : ring(keys)
 {
 }
 
--- a/src/peer/seal.h
+++ b/src/peer/seal.h
@@ -17,7 +17,7 @@
 {
 public:
     /** The first key signs, all open. Precondition: one key at least, maxKeys at most. */
-    explicit PacketSealer(std::vector<Bytes> keys);
+    explicit PacketSealer(const std::vector<Bytes> &keys);
 
     /** The message with version and signature behind it; the signature covers both. */
     Bytes seal(Bytes message) const;
