Slots: a keeper with an earlier epoch learns of the later one; room for 300,000 feeds

A client that knows a later epoch than its keeper's (it kept the service itself while it was alone) and holds nothing never reported, as only holders of places do. It now answers such a grant with a report of its epoch, on which the keeper begins a later one. The new section of the client's story fails without the change (two checks).

--- a/src/slots/settings.h
+++ b/src/slots/settings.h
@@ -44,7 +44,7 @@
     size_t spillZones = 2;                    // other zones tried before queueing
     size_t placesPerReport = 40;              // places in one part of a report: about 1 KB
     size_t maxWishes = 65536;                 // wishes that wait at a time
-    size_t maxHeld = 131072;                  // places held at a time
+    size_t maxHeld = 393216;                  // places held at a time: 300,000 feeds, RequestSettings::maxInProgress and some room
 };
 
 } // namespace hornbeam
--- a/src/slots/slotclient.cpp
+++ b/src/slots/slotclient.cpp
@@ -170,6 +170,8 @@
         }
         if (isWanted && this->keeperOf(grant.service, grant.zone) != grant.keeper) { // else that keeper would answer the same again
             this->sendAsk(wish->second, out);
+        } else if (isWanted) {
+            this->sendLaterEpoch(grant, known->second.epoch, out);
         }
         return false; // the keeper of the later epoch does not count this place
     }
@@ -196,6 +198,18 @@
     return true;
 }
 
+void SlotClient::sendLaterEpoch(const SlotGrant &grant, uint64_t epoch, Actions &out)
+{
+    HeldReport report;
+    report.holder = this->self.id;
+    report.incarnation = this->self.incarnation;
+    report.service = grant.service;
+    report.zone = grant.zone;
+    report.epoch = epoch;
+    report.isAudit = true;
+    out.sendToPeer(grant.keeper, std::move(report));
+}
+
 void SlotClient::onSlotRefusal(const SlotRefusal &refusal, Actions &out)
 {
     Refused ended;
--- a/src/slots/slotclient.h
+++ b/src/slots/slotclient.h
@@ -103,6 +103,8 @@
     void sendRelease(const Place &place, SlotOutcome outcome, Duration latency, Actions &out);
     void withdraw(const Wish &wish, Actions &out);
     bool takeGrant(const SlotGrant &grant, Actions &out);
+    /** Tells a keeper that a later epoch than its own is known here, so that it begins a later one; without it no grant of it would ever count. */
+    void sendLaterEpoch(const SlotGrant &grant, uint64_t epoch, Actions &out);
     /** Moves a refused wish on. Returns false when there is nothing left to try. */
     bool askElsewhere(Wish &wish, const SlotRefusal &refusal, Actions &out);
     void sendReport(const KeeperKey &key, KeeperTerm &term, MemberId keeper, bool splitAnew, Actions &out);
--- a/tests/slotclient_test.cpp
+++ b/tests/slotclient_test.cpp
@@ -1,6 +1,8 @@
 #include "slotfakes.h"
 
 #include "peer/codec.h"
+#include "requests/settings.h"
+#include "slots/rebuild.h"
 
 #include <catch2/catch.hpp>
 #include <iostream>
@@ -43,6 +45,10 @@
     FakeFleet fleet({ 1, 1, 2, 3, 4 });
     FakeListener &listener = fleet.at(2).listener;
 
+    SECTION("it may hold the places of 300,000 feeds and of all requests in progress")
+    {
+        CHECK(SlotClientSettings{}.maxHeld >= 300'000 + RequestSettings{}.maxInProgress);
+    }
     SECTION("without a table it hears so at the next tick")
     {
         fleet.begin(2, 1);
@@ -57,6 +63,18 @@
         fleet.deliverAll();
         REQUIRE(listener.places.at(1).target == 1);
 
+        SECTION("a client that knows a later epoch than its keeper and holds nothing tells the keeper, and is served")
+        {
+            fleet.end(2, 1);
+            fleet.deliverAll();
+            const uint64_t later = makeEpoch(fleet.clock.wallMillis() + 60'000, 2);
+            Actions ignored; // a report that is lost
+            fleet.at(2).client.onHeldQuery(HeldQuery{ 2, fakeService, 1, later, {} }, ignored);
+            fleet.begin(2, 2);
+            fleet.run(seconds(1));
+            CHECK(fleet.at(2).listener.places.contains(2));
+            CHECK(fleet.used(1) == 1);
+        }
         SECTION("the overflow goes to at most two other zones, then queues")
         {
             fleet.begin(2, 2, PlaceKind::Request, seconds(2), 1);
