--- a/src/apps/daemon.cpp
+++ b/src/apps/daemon.cpp
@@ -25,7 +25,6 @@
 constexpr milliseconds platformInterval(200);
 constexpr seconds instancesInterval(5);
 constexpr milliseconds lastMessagesWait(100); // for the notice that this instance has left
-constexpr uint32_t anyAddress = 0;
 
 Endpoint peerEndpoint(const DaemonSettings &settings)
 {
