--- a/src/peer/keyring.h
+++ b/src/peer/keyring.h
@@ -4,9 +4,9 @@
 
 #include "core/types.h"
 
-#include <atomic>
 #include <cstddef>
 #include <memory>
+#include <mutex>
 
 namespace hornbeam {
 
@@ -19,9 +19,12 @@
 {
 public:
     /** The first key signs, all verify. Precondition: one key at least; further ones than maxKeys are left out. */
-    explicit KeyRing(std::vector<Bytes> keys);
+    explicit KeyRing(const std::vector<Bytes> &keys);
+    ~KeyRing();
+    KeyRing(const KeyRing &) = delete;
+    KeyRing &operator=(const KeyRing &) = delete;
     /** Puts other keys in force at once. Precondition: as for the constructor. */
-    void update(std::vector<Bytes> keys);
+    void update(const std::vector<Bytes> &keys);
 
     /** The signature of `data` by the first key: the first 8 bytes of its HMAC, the first one highest. */
     uint64_t sign(const uint8_t *data, size_t size) const;
@@ -29,7 +32,13 @@
     bool verify(const uint8_t *data, size_t size, uint64_t signature) const;
 
 private:
-    std::atomic<std::shared_ptr<const std::vector<Bytes>>> keys;
+    class Key;
+    using Keys = std::vector<std::unique_ptr<Key>>;
+
+    std::shared_ptr<const Keys> present() const;
+
+    mutable std::mutex mutex; // guards `keys`; the keys themselves are thread safe
+    std::shared_ptr<const Keys> keys;
 };
 
 } // namespace hornbeam
--- a/src/peer/seal.h
+++ b/src/peer/seal.h
@@ -17,7 +17,7 @@
 {
 public:
     /** The first key signs, all open. Precondition: one key at least, maxKeys at most. */
-    explicit PacketSealer(std::vector<Bytes> keys);
+    explicit PacketSealer(const std::vector<Bytes> &keys);
 
     /** Puts other keys in force at once. Precondition: as for the constructor. */
     void updateKeys(std::vector<Bytes> keys);
