Requests: a POST is not refused for a view that is only behind

Cause: right after a planned replacement an entry that does not know the maker yet (or knows only its process before) answered 'may have run: maker_gone' to POSTs in progress; and records handed over by a stopped maker were not found once a new process of that name had come. Now such a packet is left unanswered while the maker or the entry is younger than viewLag (the caller's own repeat finds the views closer), and a value of a replaced process goes to its successor, as one of a member that left does. Ruled out: asking other members for their view (traffic for a second or two of lag).

--- a/src/core/counters.cpp
+++ b/src/core/counters.cpp
@@ -11,7 +11,8 @@
     "slots_reclaimed",      "keeper_rebuilds",        "feeds_opened",         "feeds_closed",          "feeds_moved_in",
     "feeds_moved_out",      "feed_copies_stored",     "notifications_sent",   "targets_probed",        "members_suspected",
     "members_failed",       "table_versions_applied", "table_versions_stale", "table_rows_rejected",   "table_pulls",
-    "table_texts_sent",     "platform_calls",         "platform_errors",      "stream_sends_dropped",  "answers_unmatched",
+    "table_texts_sent",     "platform_calls",         "platform_errors",      "stream_sends_dropped",  "repeats_awaited",
+    "answers_unmatched",
 };
 static_assert(std::size(counterNames) == static_cast<size_t>(Counter::Count));
 
--- a/src/core/counters.h
+++ b/src/core/counters.h
@@ -47,6 +47,7 @@
     PlatformCalls,        // calls made to the platform's object API
     PlatformErrors,       // calls that failed
     StreamSendsDropped,   // messages for streams that were given up: queue full, peer unreachable or refused by it
+    RepeatsAwaited,       // repeated requests left without an answer, as their maker or this instance has just started
     AnswersUnmatched,     // packets from targets that belong to no exchange, or come from another target than the one asked
     Count,
 };
--- a/src/requests/posts.cpp
+++ b/src/requests/posts.cpp
@@ -85,6 +85,10 @@
     }
     Reason fault = Reason::None;
     const MemberId peer = this->answererOf(value, fault);
+    if (fault == Reason::None && peer == 0) {
+        this->counters.add(Counter::RepeatsAwaited);
+        return;
+    }
     if (fault == Reason::None && !this->relay(origin, peer, out)) {
         fault = Reason::MakerUnreachable;
     }
@@ -96,7 +100,13 @@
 MemberId RequestEngine::answererOf(const EchoValue &value, Reason &fault) const
 {
     const auto maker = this->directory.find(value.maker);
-    if (!maker.has_value() || maker->incarnation != value.incarnation || maker->state == MemberState::Dead) {
+    if (!maker.has_value() || maker->incarnation < value.incarnation) {
+        // a young process has not heard of all others yet, nor they of it: the caller's repeat finds the views closer
+        fault = this->isYoung(value.incarnation) || this->isYoung(this->incarnation) ? Reason::None : Reason::MakerGone;
+        return 0;
+    }
+    const bool isReplaced = maker->incarnation > value.incarnation;
+    if (maker->state == MemberState::Dead && !isReplaced) {
         fault = Reason::MakerGone;
         return 0;
     }
@@ -105,7 +115,7 @@
         fault = Reason::MakerUnreachable;
         return 0;
     }
-    if (maker->state != MemberState::Left) {
+    if (maker->state != MemberState::Left && !isReplaced) {
         return maker->id;
     }
     const MemberId successor = this->directory.ownerIn(maker->zone, mixHash(value.maker, value.incarnation), 0);
@@ -115,6 +125,12 @@
     return successor;
 }
 
+bool RequestEngine::isYoung(Incarnation startedMs) const
+{
+    const auto window = static_cast<uint64_t>(std::chrono::duration_cast<milliseconds>(this->settings.viewLag).count());
+    return this->clock.wallMillis() < startedMs + window;
+}
+
 bool RequestEngine::relay(const Relay &origin, MemberId peer, Actions &out)
 {
     if (peer == 0 || peer == this->selfId || origin.hops >= maxRelayHops) {
--- a/src/requests/requestengine.h
+++ b/src/requests/requestengine.h
@@ -75,7 +75,9 @@
     void challenge(const Relay &origin, const CoapMessage &message, Actions &out);
     void relayFirst(const Relay &origin, const CallerExchange &exchange, Actions &out);
     void onForeignPost(const Relay &origin, const CoapMessage &message, const EchoValue &value, Actions &out);
+    /** Who can answer for a value of another instance; 0 without a fault when that is not known yet. */
     MemberId answererOf(const EchoValue &value, Reason &fault) const;
+    bool isYoung(Incarnation startedMs) const;
     bool relay(const Relay &origin, MemberId peer, Actions &out);
     void onOwnPost(const Relay &origin, const CoapMessage &message, const EchoValue &value, Actions &out);
     void onKnownPost(Shard &shard, const Record &record, const CallerExchange &exchange, Actions &out);
