--- a/bench/world.h
+++ b/bench/world.h
@@ -111,6 +111,7 @@
     void checkDrained(Target &target);
     void runIn(Instance &instance, std::function<void()> work);
     void perform(Instance &from, const Actions &actions);
+    void traceMessage(const Instance &from, const Instance &to, const PeerMessage &message);
     void sendPeer(Instance &from, const MessageOut &message, bool isStream);
     bool isDropped(const PeerMessage &message) const;
     void sendToTarget(Instance &from, const PacketOut &packet);
--- a/bench/worldcaller.cpp
+++ b/bench/worldcaller.cpp
@@ -17,6 +17,7 @@
 constexpr seconds numberLifetime(128); // RFC 7641, 3.4
 constexpr seconds feedCheckInterval(1);
 constexpr size_t tokenBytes = 4;
+constexpr seconds longGap(3);
 
 std::optional<uint64_t> stateOf(const std::string &payload)
 {
@@ -225,8 +226,8 @@
     ++this->ledger.requests.at(static_cast<size_t>(outcome));
     if (outcome == Outcome::Answered) {
         this->ledger.latencies.push_back(this->clock.now() - this->startedAt);
-    } else if (outcome == Outcome::Torn) {
-        this->ledger.tornFlows.push_back(this->options.name);
+    } else {
+        this->keepTrace(std::string(outcomeNames.at(static_cast<size_t>(outcome))));
     }
     if (this->options.kind == CallerKind::Order) {
         OrderEntry &order = this->ledger.orders[this->identity];
@@ -237,6 +238,14 @@
     this->scheduleNext();
 }
 
+/** Keeps this flow's trace as it is now, the first time for a reason. */
+void WorldCaller::keepTrace(const std::string &reason)
+{
+    if (!this->ledger.firstTraces.contains(reason)) {
+        this->ledger.firstTraces[reason] = this->trace.of(this->options.name);
+    }
+}
+
 //--- Feeds
 
 void WorldCaller::beginFeed()
@@ -296,6 +305,9 @@
     feed.statesBack += state < this->lastState ? 1 : 0;
     if (feed.isOpen) {
         feed.longestGap = std::max(feed.longestGap, this->clock.now() - feed.lastUpdate);
+        if (feed.longestGap > longGap) {
+            this->keepTrace(this->options.name);
+        }
     }
     feed.isOpen = true;
     ++feed.updates;
--- a/bench/worldcaller.h
+++ b/bench/worldcaller.h
@@ -59,6 +59,7 @@
     void onChallenge(const CoapMessage &message);
     void onBlock(const CoapMessage &message, const Bytes &packet);
     void endRequest(Outcome outcome);
+    void keepTrace(const std::string &reason);
     bool isOwn(const std::string &payload) const;
     void beginFeed();
     void onUpdate(const CoapMessage &message, const Bytes &packet);
--- a/bench/worldledger.h
+++ b/bench/worldledger.h
@@ -112,13 +112,13 @@
     std::map<std::string, OrderEntry> orders; // by identity
     std::map<std::string, FeedEntry> feeds;   // by flow
     std::array<uint64_t, static_cast<size_t>(Outcome::Count)> requests{};
-    std::map<std::string, uint64_t> refusals; // by the text of the answer
-    uint64_t repeats = 0;                     // retransmissions by callers
-    uint64_t strangers = 0;                   // packets to a caller from another service's address
-    uint64_t undecodable = 0;                 // peer messages that did not survive their encoding
-    uint64_t versionFalls = 0;                // times that a process put an older version in force
-    std::vector<Duration> latencies;          // of answered requests
-    std::vector<std::string> tornFlows;
+    std::map<std::string, uint64_t> refusals;       // by the text of the answer
+    uint64_t repeats = 0;                           // retransmissions by callers
+    uint64_t strangers = 0;                         // packets to a caller from another service's address
+    uint64_t undecodable = 0;                       // peer messages that did not survive their encoding
+    uint64_t versionFalls = 0;                      // times that a process put an older version in force
+    std::vector<Duration> latencies;                // of answered requests
+    std::map<std::string, std::string> firstTraces; // of the flow at the first request with an outcome, and of each feed at its first long gap
 };
 
 } // namespace hornbeam::bench
--- a/bench/worldlinks.cpp
+++ b/bench/worldlinks.cpp
@@ -169,6 +169,27 @@
         || (wiring.dropTargetNotices && std::holds_alternative<TargetNotice>(message)) || (wiring.dropTableSpread && isTable);
 }
 
+/** Adds a message about a flow to its trace. */
+void World::traceMessage(const Instance &from, const Instance &to, const PeerMessage &message)
+{
+    const std::string way = from.name + " to " + to.name;
+    const auto addFeeds = [&](const std::string &what, const Endpoint &first, const std::vector<FeedCaller> &others) {
+        this->events.add(this->flowOf(first), what + way);
+        for (const FeedCaller &other : others) {
+            this->events.add(this->flowOf(other.caller), what + way);
+        }
+    };
+    if (const auto *relay = std::get_if<Relay>(&message)) {
+        this->events.add(this->flowOf(relay->caller), "relay " + way);
+    } else if (const auto *move = std::get_if<FeedMove>(&message)) {
+        addFeeds("feed move ", move->feed.caller, move->others);
+    } else if (const auto *copy = std::get_if<FeedCopy>(&message)) {
+        addFeeds("feed copy ", copy->feed.caller, copy->others);
+    } else if (const auto *taken = std::get_if<FeedTaken>(&message)) {
+        addFeeds("feed taken ", taken->caller, taken->others);
+    }
+}
+
 void World::sendPeer(Instance &from, const MessageOut &message, bool isStream)
 {
     const auto endpoint = from.node->endpointOf(message.peer);
@@ -184,9 +205,7 @@
     if (to == nullptr) {
         return;
     }
-    if (relay != nullptr) {
-        this->events.add(this->flowOf(relay->caller), "relay " + from.name + " to " + to->name);
-    }
+    this->traceMessage(from, *to, message.message);
     const Bytes bytes = encodeMessage(message.message);
     from.peerBytes += bytes.size();
     from.counters.add(relay != nullptr ? Counter::RelayBytesSent : Counter::ControlBytesSent, bytes.size());
--- a/tests/scenario.cpp
+++ b/tests/scenario.cpp
@@ -4,6 +4,7 @@
 #include "world.h"
 
 #include <fstream>
+#include <iostream>
 #include <sstream>
 
 using namespace hornbeam;
@@ -57,6 +58,12 @@
     {
     }
     void runLine(const Words &words);
+    /** The trace kept at the first fault of a flow or outcome, or else its newest events. */
+    std::string traceOf(const std::string &flow)
+    {
+        const auto &kept = this->world.ledger().firstTraces;
+        return kept.contains(flow) ? kept.at(flow) : this->world.trace().of(flow);
+    }
     World world;
 
 private:
@@ -141,13 +148,22 @@
         forEachName([this](const std::string &name) { this->world.startInstance(name); });
     } else if (verb == "expect") {
         this->expect(words);
+    } else if (verb == "dump") { // for whoever looks for a cause
+        forEachName([this](const std::string &name) { std::cout << name << " " << this->instance(name).node->dump(); });
+    } else if (verb == "replace") { // planned stop, then a new process under the name once the old one has ended
+        forEachName([this](const std::string &name) { this->world.stopInstance(name); });
+        forEachName([this](const std::string &name) {
+            const bool ended = this->world.runUntil(seconds(40), [&] { return this->instance(name).state == ProcessState::Ended; });
+            require(ended, name + " still runs 40 s after its planned stop");
+            this->world.startInstance(name);
+        });
     } else if (verb == "edit" || verb == "race-edit") {
         this->edit(words);
     } else if (verb == "cut" || verb == "mend" || verb == "loss" || verb == "duplicates" || verb == "reorders") {
         this->changeLink(words);
     } else if (verb == "outage" || verb == "slow" || verb == "lose-answers") {
         this->changePlatform(words);
-    } else if (verb.ends_with("-target") || verb == "lie" || verb == "move-address") {
+    } else if (verb.ends_with("-target") || verb == "lie" || verb.ends_with("-address")) {
         this->changeTarget(words);
     } else {
         this->build(words);
@@ -198,18 +214,21 @@
                                                                               : HealthLie::None;
         return;
     }
-    if (verb == "move-address") { // TARGET to SERVICE as NEW
+    if (verb == "release-address") { // its row leaves the table, then its process ends as it is idle
+        const EditResult removed = this->world.edit("ana", this->service(words.at(1)), { { ChangeKind::RemoveRow, words.at(1), "", "", std::nullopt, {} } });
+        require(removed.outcome == EditOutcome::Done, "the row was not removed: " + removed.problem, "tables");
+        return;
+    }
+    if (verb == "reuse-address") { // TARGET for SERVICE as NAME
         const Target &old = this->target(words.at(1));
         TargetRow row;
         row.name = words.at(5);
         row.endpoint = old.options.listen;
         row.zoneName = old.zone;
         row.slots = old.options.slots;
-        const EditResult removed = this->world.edit("ana", old.options.service, { { ChangeKind::RemoveRow, words.at(1), "", "", std::nullopt, {} } });
-        require(removed.outcome == EditOutcome::Done, "the row was not removed: " + removed.problem, "tables");
+        this->world.replaceTarget(words.at(1), words.at(3), words.at(5));
         const EditResult added = this->world.edit("ana", words.at(3), { { ChangeKind::AddRow, words.at(5), "", "", std::nullopt, row } });
         require(added.outcome == EditOutcome::Done, "the row was not added: " + added.problem, "tables");
-        this->world.replaceTarget(words.at(1), words.at(3), words.at(5));
         return;
     }
     for (size_t i = 1; i < words.size(); ++i) {
@@ -291,22 +310,25 @@
         this->expectTables(words);
     } else if (what == "own-answers") {
         const uint64_t torn = ledger.requests.at(static_cast<size_t>(Outcome::Torn));
-        require(torn == 0, std::to_string(torn) + " answers were not whole or not the caller's own", torn > 0 ? ledger.tornFlows.front() : "");
+        require(torn == 0, std::to_string(torn) + " answers were not whole or not the caller's own", "torn");
     } else if (what == "stopped") {
         for (size_t i = 2; i < words.size(); ++i) {
             require(this->instance(words[i]).state == ProcessState::Ended, words[i] + " still runs");
         }
     } else if (what == "none" || what == "some") { // expect none|some OUTCOME...
         uint64_t seen = 0;
+        std::string flow = "instances";
         for (size_t i = 2; i < words.size(); ++i) {
             const auto found = std::find(outcomeNames.begin(), outcomeNames.end(), words[i]);
-            seen += ledger.requests.at(static_cast<size_t>(found - outcomeNames.begin()));
+            const uint64_t ended = ledger.requests.at(static_cast<size_t>(found - outcomeNames.begin()));
+            seen += ended;
+            flow = ended > 0 ? words[i] : flow;
         }
         std::string text = std::to_string(seen) + " requests ended so;";
         for (const auto &[reason, count] : ledger.refusals) {
             text += " [" + reason + "] " + std::to_string(count);
         }
-        require((seen == 0) == (what == "none"), text);
+        require((seen == 0) == (what == "none"), text, flow);
     } else {
         reject("unknown expectation " + what);
     }
@@ -387,6 +409,37 @@
     require(laggard.empty(), laggard, "tables");
 }
 
+struct NumberedLine
+{
+    size_t number = 0;
+    std::string text;
+};
+
+/** The lines to run, those between `repeat N` and `done` N times with `#` in names replaced by the turn. */
+std::vector<NumberedLine> unrolled(const std::vector<std::string> &lines)
+{
+    std::vector<NumberedLine> all;
+    for (size_t i = 0; i < lines.size(); ++i) {
+        if (!lines[i].starts_with("repeat ")) {
+            all.push_back({ i + 1, lines[i] });
+            continue;
+        }
+        const auto end = std::find(lines.begin() + static_cast<ptrdiff_t>(i), lines.end(), "done");
+        const auto last = static_cast<size_t>(end - lines.begin());
+        const size_t turns = std::stoul(lines[i].substr(std::string("repeat ").size()));
+        for (size_t turn = 1; turn <= turns; ++turn) {
+            for (size_t inner = i + 1; inner < last; ++inner) {
+                std::string text = lines[inner];
+                std::replace(text.begin(), text.end(), '#', static_cast<char>('0' + turn));
+                all.push_back({ inner + 1, text });
+            }
+        }
+        i = last;
+    }
+    std::erase_if(all, [](const NumberedLine &line) { return split(line.text).empty(); });
+    return all;
+}
+
 } // namespace
 
 //--- Files
@@ -420,17 +473,15 @@
         throw std::runtime_error(scenario.name + ": no mechanism " + mechanism);
     }
     Interpreter interpreter(settings);
-    for (size_t i = 0; i < scenario.lines.size(); ++i) {
-        const Words words = split(scenario.lines[i]);
-        if (words.empty()) {
-            continue;
-        }
-        const std::string where = scenario.name + ":" + std::to_string(i + 1) + " seed " + std::to_string(seed) + ": " + scenario.lines[i];
+    for (const auto &[line, text] : unrolled(scenario.lines)) {
+        const Words words = split(text);
+        const std::string where = scenario.name + ":" + std::to_string(line) + " seed " + std::to_string(seed) + ": " + text;
         try {
             interpreter.runLine(words);
         } catch (const Failed &failed) {
-            return ScenarioFailure{ i + 1, scenario.lines[i],
-                                    where + "\n  " + failed.what() + "\n  trace of " + failed.flow + ":\n" + interpreter.world.trace().of(failed.flow) };
+            return ScenarioFailure{ line, text,
+                                    where + "\n  " + failed.what() + "\n  trace of " + failed.flow + ":\n" + interpreter.traceOf(failed.flow) + "  instances:\n"
+                                        + interpreter.world.trace().of("instances") };
         } catch (const std::exception &malformed) {
             throw std::runtime_error(where + ": malformed: " + malformed.what());
         }
--- a/tests/scenario.h
+++ b/tests/scenario.h
@@ -5,12 +5,13 @@
 //   zone NAME...                                      service NAME PORT [balance|persistence] [queue N]
 //   instance NAME... in ZONE                          target NAME... of SERVICE in ZONE [slots N] [work MS] [cold MS] [drain MS]
 //   reads|orders|brochures|feeds N of SERVICE [think MS]    end reads|orders|brochures|feeds of SERVICE
-//   run DURATION                                      repeat N ... done (lines between run N times; `#i` in a name is replaced by 1 to N)
+//   run DURATION                                      repeat N ... done (lines between run N times; `#` in a name is replaced by 1 to N)
+//   replace NAME... (stop, and start once it ended)
 //   kill|freeze|wake|stop|start NAME...               kill-target|start-target|drain-target NAME...
 //   cut|mend PLACE PLACE (zones, callers, platform)   loss|duplicates|reorders SHARE [DURATION]
 //   outage on|off     slow MS     lose-answers N      lie TARGET none|up|bad
 //   edit WHO SERVICE TARGET COLUMN VALUE [OUTCOME]    race-edit WHO VALUE [OUTCOME] (between the next edit's read and write)
-//   move-address TARGET to SERVICE as TARGET          expect ... (see expectations in scenario.cpp)
+//   release-address TARGET   reuse-address TARGET for SERVICE as NAME   expect ... (see expectations in scenario.cpp)
 //   without MECHANISM -> EXPECTATION                  the scenario must fail at that expectation when the mechanism is taken away
 
 #include <optional>
