--- a/bench/world.cpp
+++ b/bench/world.cpp
@@ -22,7 +22,7 @@
 } // namespace
 
 World::World(const WorldSettings &settings)
-    : settings(settings), queue(this->clock), random(settings.seed), store(this->queue, this->clock, settings.platform), events(this->clock)
+    : settings(settings), queue(this->clock), random(settings.seed), store(this->queue, settings.platform), events(this->clock)
 {
     this->store.ignoresConditions = settings.wiring.ignoreConditions;
 }
--- a/bench/worldlinks.cpp
+++ b/bench/worldlinks.cpp
@@ -291,7 +291,7 @@
 {
     OperatorCalls calls(this->store, this->queue);
     EditSession session(calls, this->clock, who, "edit-" + std::to_string(this->nextEdit++), EditSettings{});
-    const EditResult result = session.run(service, changes);
+    EditResult result = session.run(service, changes);
     this->events.add(
         "tables", who + " edits " + service + ": outcome " + std::to_string(static_cast<int>(result.outcome)) + " version " + std::to_string(result.version));
     if (result.outcome != EditOutcome::Done) {
--- a/bench/worldplatform.cpp
+++ b/bench/worldplatform.cpp
@@ -22,7 +22,7 @@
 
 //--- Platform
 
-WorldPlatform::WorldPlatform(EventQueue &queue, const Clock &clock, const PlatformTimes &times) : times(times), queue(queue), clock(clock)
+WorldPlatform::WorldPlatform(EventQueue &queue, const PlatformTimes &times) : times(times), queue(queue)
 {
 }
 
--- a/bench/worldplatform.h
+++ b/bench/worldplatform.h
@@ -22,7 +22,7 @@
 class WorldPlatform
 {
 public:
-    WorldPlatform(EventQueue &queue, const Clock &clock, const PlatformTimes &times);
+    WorldPlatform(EventQueue &queue, const PlatformTimes &times);
 
     bool isOut = false;                   // every call fails
     Duration slowness = Duration::zero(); // added to each call
@@ -54,7 +54,6 @@
     void answerWatches();
 
     EventQueue &queue;
-    const Clock &clock;
     standins::PlatformStore store;
     std::vector<std::shared_ptr<Watch>> watches;
     std::map<std::string, PlatformInstance> shown;
--- a/tests/scenarios_test.cpp
+++ b/tests/scenarios_test.cpp
@@ -51,7 +51,7 @@
 
 } // namespace
 
-TEST_CASE("every scenario file has a test case and one at least a counter-proof")
+TEST_CASE("the scenario files were found")
 {
     CHECK(registered >= 8);
 }
