--- a/bench/policybaselines.h
+++ b/bench/policybaselines.h
@@ -26,8 +26,9 @@
 {
 public:
     /** Precondition: the references outlive this. */
-    BaselinePlaces(Baseline baseline, std::shared_ptr<BusyBoard> board, const Clock &clock, const TableSource &tables, PlaceListener &requests,
-                   PlaceListener &feeds);
+    BaselinePlaces(Baseline baseline, std::shared_ptr<BusyBoard> board, const Clock &clock, const TableSource &tables);
+
+    void setListeners(PlaceListener &requests, PlaceListener &feeds) override;
 
     void beginPlace(const PlaceWant &want, Actions &out) override;
     void endPlace(uint64_t request, SlotOutcome outcome, Duration latency, Actions &out) override;
@@ -50,8 +51,8 @@
     const std::shared_ptr<BusyBoard> board;
     const Clock &clock;
     const TableSource &tables;
-    PlaceListener &requests;
-    PlaceListener &feeds;
+    PlaceListener *requests = nullptr;
+    PlaceListener *feeds = nullptr;
     std::vector<Wish> wishes;
     std::map<uint64_t, Held> held;
 };
--- a/bench/policymain.cpp
+++ b/bench/policymain.cpp
@@ -56,9 +56,9 @@
 void useBaseline(WorldSettings &settings, Baseline baseline, const Clock *&clock)
 {
     const auto shared = std::make_shared<BusyBoard>();
-    settings.node.placeClient = [baseline, shared, &clock](const MemberDirectory &, const TableSource &tables, PlaceListener &requests, PlaceListener &feeds) {
+    settings.node.placeClient = [baseline, shared, &clock](const MemberDirectory &, const TableSource &tables) {
         const auto board = baseline == Baseline::AllKnowing ? shared : std::make_shared<BusyBoard>();
-        return std::make_unique<BaselinePlaces>(baseline, board, *clock, tables, requests, feeds);
+        return std::make_unique<BaselinePlaces>(baseline, board, *clock, tables);
     };
 }
 
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -54,12 +54,12 @@
     , sync(this->tableStore, this->membership, clock, counters)
     , slotClient(settings.slotClient, this->membership, this->tableStore, clock, counters)
     , keeper(settings.keeper, this->membership, this->tableStore, clock, counters)
-    , otherPlaces(settings.placeClient ? settings.placeClient(this->membership, this->tableStore, this->requestEngine, this->feedEngine) : nullptr)
+    , otherPlaces(settings.placeClient ? settings.placeClient(this->membership, this->tableStore) : nullptr)
     , places(this->otherPlaces ? *this->otherPlaces : this->slotClient)
     , requestEngine(settings.requests, this->membership, this->tableStore, this->places, clock, counters, this->keyRing)
     , feedEngine(settings.feeds, this->membership, this->tableStore, this->places, clock, counters)
 {
-    this->slotClient.setListeners(this->requestEngine, this->feedEngine);
+    this->places.setListeners(this->requestEngine, this->feedEngine);
 }
 
 //--- Packets
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -24,9 +24,8 @@
 
 namespace hornbeam {
 
-/** Makes another client of places than SlotClient. The listeners are not to be called before the first tick. */
-using PlaceClientFactory =
-    std::function<std::unique_ptr<PlaceClient>(const MemberDirectory &, const TableSource &, PlaceListener &requests, PlaceListener &feeds)>;
+/** Makes another client of places than SlotClient, for comparisons. */
+using PlaceClientFactory = std::function<std::unique_ptr<PlaceClient>(const MemberDirectory &, const TableSource &)>;
 
 struct NodeSettings
 {
--- a/src/peer/seal.cpp
+++ b/src/peer/seal.cpp
@@ -6,9 +6,9 @@
 {
 }
 
-void PacketSealer::updateKeys(std::vector<Bytes> keys)
+void PacketSealer::updateKeys(const std::vector<Bytes> &keys)
 {
-    this->ring.update(std::move(keys));
+    this->ring.update(keys);
 }
 
 Bytes PacketSealer::seal(Bytes message) const
--- a/src/peer/seal.h
+++ b/src/peer/seal.h
@@ -20,7 +20,7 @@
     explicit PacketSealer(const std::vector<Bytes> &keys);
 
     /** Puts other keys in force at once. Precondition: as for the constructor. */
-    void updateKeys(std::vector<Bytes> keys);
+    void updateKeys(const std::vector<Bytes> &keys);
     /** The message with version and signature behind it; the signature covers both. */
     Bytes seal(Bytes message) const;
     /** The message without its seal; nothing when it is too short, of another version, or signed by none of the keys. */
--- a/src/slots/places.h
+++ b/src/slots/places.h
@@ -44,6 +44,10 @@
 {
 public:
     virtual ~PlaceClient() = default;
+    /** Sets who hears of request slots and of feed places. Precondition: called once, before any other method; both outlive the client. */
+    virtual void setListeners(PlaceListener &, PlaceListener &)
+    {
+    }
     /** Asks for a place; the listener hears of exactly one outcome, not before this call returns, unless endPlace comes first. */
     virtual void beginPlace(const PlaceWant &want, Actions &out) = 0;
     /** Gives a place back, or withdraws a wish (outcome Cancelled). Unknown requests are ignored. */
--- a/src/slots/slotclient.h
+++ b/src/slots/slotclient.h
@@ -27,7 +27,7 @@
     SlotClient(const SlotClientSettings &settings, const MemberDirectory &directory, const TableSource &tables, const Clock &clock, Counters &counters);
 
     /** Sets who hears of request slots and of feed places. Precondition: called before any other method; both outlive the client. */
-    void setListeners(PlaceListener &requests, PlaceListener &feeds);
+    void setListeners(PlaceListener &requests, PlaceListener &feeds) override;
 
     //--- Wishes
     void beginPlace(const PlaceWant &want, Actions &out) override;
