Planned stops: wait for the last Echo value; a new keeper trusts only targets that it has heard

The value given out is a request in progress, so a leaving instance now waits 4 s for it, past a CoAP client's first repeat. Targets never heard in a keeper's own term now come after those that were. Ruled out: lost records at the handover (none of the numbers had ever reached the maker); shed or ejected targets (no counter moved).

--- a/bench/policymain.cpp
+++ b/bench/policymain.cpp
@@ -350,7 +350,7 @@
     app.add_option("--seed", seed, "seed of the world");
     app.add_flag("--quick", isQuick, "cuts and outages of 20 s in place of 10 and 30 min");
     app.add_option("--workload", chosenWorkloads, "merpati, cabrera; both when left out");
-    app.add_option("--phase", chosenPhases, "phases; all when left out");
+    app.add_option("--phase", chosenPhases, "phases; all when left out")->check(CLI::IsMember(phases));
     app.add_option("--variant", chosenVariants, "variants; all when left out");
     CLI11_PARSE(app, argc, argv);
     for (const Workload &workload : workloads) {
--- a/src/requests/drain.cpp
+++ b/src/requests/drain.cpp
@@ -74,7 +74,10 @@
 
 bool RequestEngine::isIdle() const
 {
-    return this->inProgress() == 0;
+    // a value that was given out and not used yet is a request in progress too: nobody else may run it
+    const Duration sinceEcho = this->clock.now().time_since_epoch() - Duration(this->lastEchoAt.load());
+    const bool mayBeUsed = this->isDraining.load() && sinceEcho < this->settings.echoLinger;
+    return this->inProgress() == 0 && !mayBeUsed;
 }
 
 size_t RequestEngine::inProgress() const
--- a/src/requests/posts.cpp
+++ b/src/requests/posts.cpp
@@ -53,6 +53,7 @@
     }
     const Bytes echo = encodeEcho(this->echoMaker.make(origin.service, origin.caller));
     shard.challenges.update(key, echo);
+    this->lastEchoAt.store(this->clock.now().time_since_epoch().count());
     this->counters.add(Counter::EchoValuesMade);
     this->answer(exchange, challengeContent(echo), out);
 }
--- a/src/requests/requestengine.h
+++ b/src/requests/requestengine.h
@@ -52,7 +52,7 @@
     /** Refuses what is still queued, passes the newest records to the successor and takes no new number from then on. */
     void handOver(Actions &out);
 
-    /** Whether no request is in progress. */
+    /** Whether no request is in progress and, while draining, none is expected with an Echo value given out lately. */
     bool isIdle() const;
     size_t inProgress() const;
     /** Bytes of all records, those taken over included. */
@@ -122,6 +122,7 @@
     std::vector<std::unique_ptr<Shard>> shards;
     std::atomic<size_t> requestsInProgress{ 0 };
     std::atomic<uint16_t> callerMessageId{ 0 }; // of non-confirmable answers
+    std::atomic<int64_t> lastEchoAt{ 0 };       // ns of the clock
     std::atomic<bool> isDraining{ false };
     std::atomic<bool> isHandedOver{ false };
     TimePoint lastTick;
--- a/src/requests/settings.h
+++ b/src/requests/settings.h
@@ -19,6 +19,7 @@
     Duration recordLifetime = seconds(247); // outcomes are kept for this long (EXCHANGE_LIFETIME of RFC 7252, 4.8.2)
     Duration freezeBound = seconds(1);      // a longer gap between two ticks means that the process stood still
     Duration viewLag = seconds(10);         // a process younger than this may not be known everywhere, nor know all others
+    Duration echoLinger = seconds(4);       // a leaving instance waits this long for the use of its newest Echo value: past a client's first repeat
     Duration retryAfter = seconds(1);       // hint in refusals for which nobody gave one
     size_t maxRecordBytes = 64U << 20U;     // bytes of all outcome records of this instance
     size_t maxTakenOverBytes = 16U << 20U;  // bytes of all records taken over from leaving instances
--- a/src/slots/servicekeeper.cpp
+++ b/src/slots/servicekeeper.cpp
@@ -166,6 +166,7 @@
 {
     const TimePoint now = this->context.clock.now();
     std::vector<Candidate> good;
+    std::vector<Candidate> unheard;
     std::vector<Candidate> lastResort;
     for (const TargetRow &row : table.rows) {
         if (!this->takesWork(&row)) {
@@ -180,9 +181,10 @@
             continue;
         }
         const bool isFailed = state.isFailed(this->context.settings, now);
-        (isFailed ? lastResort : good).push_back(this->candidateOf(row, kind, isFailed));
+        std::vector<Candidate> &group = isFailed ? lastResort : state.wasHeard() ? good : unheard;
+        group.push_back(this->candidateOf(row, kind, isFailed));
     }
-    std::vector<Candidate> &chosen = good.empty() ? lastResort : good;
+    std::vector<Candidate> &chosen = !good.empty() ? good : !unheard.empty() ? unheard : lastResort;
     if (chosen.size() > 1) {
         std::erase_if(chosen, [avoid](const Candidate &candidate) { return candidate.row->id == avoid; });
     }
--- a/src/slots/targetstate.h
+++ b/src/slots/targetstate.h
@@ -42,6 +42,11 @@
     bool isEjected(TimePoint now) const;
     /** Whether probes fail and no real answer speaks against them. */
     bool isFailed(const KeeperSettings &settings, TimePoint now) const;
+    /** Whether this keeper has had any answer of it: a target that was never heard may have left while another keeper probed it. */
+    bool wasHeard() const
+    {
+        return this->loadAt.has_value() || this->answeredAt.has_value();
+    }
     /** Whether it just shed a request. */
     bool isBackingOff(TimePoint now) const;
     /** Whether its health endpoint says that it leaves. */
--- a/tests/requests_test.cpp
+++ b/tests/requests_test.cpp
@@ -370,6 +370,9 @@
         CHECK_FALSE(maker.engine->isIdle());
         maker.engine->handOver(maker.out);
         CHECK(maker.lastPayload() == "not_run: draining");
+        CHECK(maker.engine->inProgress() == 0);
+        CHECK_FALSE(maker.engine->isIdle()); // one of its Echo values may still come
+        maker.clock.advance(RequestSettings{}.echoLinger);
         CHECK(maker.engine->isIdle());
         REQUIRE(maker.out.toStreams.size() == 1);
         CHECK(maker.out.toStreams[0].peer == RequestBench::peer);
--- a/tests/slots_test.cpp
+++ b/tests/slots_test.cpp
@@ -303,6 +303,27 @@
     }
 }
 
+TEST_CASE("a new keeper gives work to targets that it has heard first")
+{
+    FakeFleet fleet({ zone });
+    useTargets(fleet, 2, 4);
+    SECTION("both while it has heard none")
+    {
+        const TargetId first = grantFor(fleet, askOf(1, 1));
+        const TargetId second = grantFor(fleet, askOf(1, 2));
+        CHECK(first + second == 3);
+    }
+    SECTION("none to one that may have left before its term")
+    {
+        std::erase_if(fleet.probes, [](const PacketOut &probe) { return probe.endpoint != fakeRow(2, zone, 4, 100).endpoint; });
+        answerProbes(fleet, R"({"load":0.0,"busy":0})");
+        for (uint64_t request = 1; request <= 4; ++request) {
+            CHECK(grantFor(fleet, askOf(1, request)) == 2);
+        }
+        CHECK(refusalFor(fleet, askOf(1, 5)) == Reason::NoSlot);
+    }
+}
+
 TEST_CASE("feeds are spread by weight within the bound")
 {
     FakeFleet fleet({ zone });
