--- a/src/apps/ctlcommands.cpp
+++ b/src/apps/ctlcommands.cpp
@@ -109,11 +109,7 @@
         lines.push_back({ record.when, record.who, record.id, record.what });
         entries.push_back({ { "when", record.when }, { "who", record.who }, { "edit", record.id }, { "what", record.what } });
     }
-    if (this->format == Format::Json) {
-        this->out << entries.dump() << "\n";
-    } else {
-        this->out << alignColumns(lines);
-    }
+    this->printEither(entries.dump() + "\n", alignColumns(lines));
     return code;
 }
 
@@ -133,16 +129,19 @@
     for (const TableChange &change : changes) {
         entries.push_back(describe(change));
     }
-    if (this->format == Format::Json) {
-        this->out << entries.dump() << "\n";
-        return code;
-    }
+    std::string lines;
     for (const TableChange &change : changes) {
-        this->out << describe(change) << "\n";
+        lines += describe(change) + "\n";
     }
+    this->printEither(entries.dump() + "\n", lines);
     return code;
 }
 
+void CtlCommands::printEither(const std::string &asJson, const std::string &asText)
+{
+    this->out << (this->format == Format::Json ? asJson : asText);
+}
+
 //--- Editing verbs
 
 ExitCode CtlCommands::apply(const std::string &service, const std::string &csv)
@@ -281,11 +280,7 @@
         entry["behind"] = lines.back()[4];
         entries.push_back(std::move(entry));
     }
-    if (this->format == Format::Json) {
-        this->out << entries.dump() << "\n";
-    } else {
-        this->out << alignColumns(lines);
-    }
+    this->printEither(entries.dump() + "\n", alignColumns(lines));
     return ExitCode::Done;
 }
 
--- a/src/apps/ctlcommands.h
+++ b/src/apps/ctlcommands.h
@@ -48,6 +48,7 @@
 
 private:
     std::optional<TableDocument> read(const std::string &service, ExitCode &code);
+    void printEither(const std::string &asJson, const std::string &asText);
     ExitCode failCall(const PlatformReply &reply);
     ExitCode printFaults(const std::vector<Fault> &faults);
     std::vector<std::string> findLagging(const PlatformReply &statuses, const std::string &service, uint64_t version) const;
