--- a/src/membership/probes.cpp
+++ b/src/membership/probes.cpp
@@ -19,7 +19,10 @@
         this->nextProbe = now + this->settings.probeInterval;
         this->beginProbe(now, out);
     }
-    this->changed = this->table.endSuspicions(now - this->settings.suspicion, now) || this->changed;
+    if (this->table.endSuspicions(now - this->settings.suspicion, now)) {
+        this->changed = true;
+        this->tellOtherZones(out); // they take over feeds of the dead member
+    }
     this->changed = this->table.forgetGone(now - this->settings.goneKept) || this->changed;
     if (now >= this->nextDigest) {
         this->nextDigest = now + this->settings.digestInterval;
--- a/src/membership/zones.cpp
+++ b/src/membership/zones.cpp
@@ -48,8 +48,8 @@
     return ZoneDigest{ this->own.zone, this->own, this->ownZoneHash(), this->tableDigest, {}, false };
 }
 
-/** Tells one member of one zone, the own one included, what this zone looks like. Zones take turns. */
-void Membership::tellZone(Actions &out)
+/** Live members of each zone, and seeds of other zones. */
+std::map<ZoneId, std::vector<MemberId>> Membership::contactsByZone() const
 {
     std::map<ZoneId, std::vector<MemberId>> byZone;
     for (const auto &[member, entry] : this->table.all()) {
@@ -62,6 +62,13 @@
             byZone[seed.zone].push_back(member);
         }
     }
+    return byZone;
+}
+
+/** Tells one member of one zone, the own one included, what this zone looks like. Zones take turns. */
+void Membership::tellZone(Actions &out)
+{
+    auto byZone = this->contactsByZone();
     if (byZone.empty()) {
         return;
     }
@@ -72,6 +79,19 @@
     }
 }
 
+/** Tells one member of each other zone what this zone looks like now. */
+void Membership::tellOtherZones(Actions &out)
+{
+    for (auto &[zone, members] : this->contactsByZone()) {
+        if (zone == this->own.zone) {
+            continue;
+        }
+        for (const MemberId member : this->someOf(std::move(members), 1)) {
+            out.sendToPeer(member, this->makeDigest());
+        }
+    }
+}
+
 /** Contacts instances of the own zone that have not answered yet, or that were declared dead and may be back in reach. */
 void Membership::contactSeeds(Actions &out)
 {
--- a/tests/membership_test.cpp
+++ b/tests/membership_test.cpp
@@ -113,7 +113,7 @@
     {
         for (int trial = 0; trial < 5; ++trial) { // at different moments between two probes
             net.isLost = [](size_t, size_t to) { return to == 4; };
-            net.run(milliseconds(450)); // less than a probe may take
+            net.run(net.settings.probeInterval - milliseconds(50)); // less than a probe may take
             net.nodes[4]->frozen = true;
             net.run(seconds(20));
             net.nodes[4]->frozen = false;
