Forwarding of opaque flows on the users' platform: thin path, own zone first, connection checks

Cause: nothing of hornbeamd ran on the users' machines. src/flows decides without sockets (tokens, routes, target directory, choice, passive health), platform/ holds the packet heads, the store's calls and the reading of its objects. The platform client moved from src/platform to platform/ and speaks the users' store; the stand-in speaks the same, so there is one client. src/platform became src/store. SystemClock counts suspended time (CLOCK_BOOTTIME), since beliefs age during it.

--- a/bench/worldparts.h
+++ b/bench/worldparts.h
@@ -6,7 +6,7 @@
 // Sections: settings | instances | targets
 
 #include "node/node.h"
-#include "platform/tablewatcher.h"
+#include "store/objectwatcher.h"
 #include "targetmodel.h"
 #include "worldledger.h"
 #include "worldplatform.h"
@@ -71,7 +71,7 @@
     Counters counters;
     std::unique_ptr<Node> node;
     std::unique_ptr<WorldPlatformClient> platform;
-    std::unique_ptr<TableWatcher> watcher;
+    std::unique_ptr<ObjectWatcher> watcher;
     std::vector<std::function<void()>> waiting;               // while it is frozen
     std::map<ServiceId, TableVersion> inForce;                // as last seen
     std::map<uint64_t, std::pair<Bytes, uint16_t>> shortened; // Wiring::shortTokens: the last token and message ID of each short one
--- a/bench/worldplatform.h
+++ b/bench/worldplatform.h
@@ -4,8 +4,8 @@
 
 #include "eventqueue.h"
 #include "platform/blockingplatform.h"
-#include "platform/platformapi.h"
 #include "platformstore.h"
+#include "store/platformapi.h"
 
 #include <memory>
 
--- a/src/apps/ctlcommands.h
+++ b/src/apps/ctlcommands.h
@@ -3,7 +3,7 @@
 // The verbs of hornbeamctl, apart from its command line.
 
 #include "apps/editsession.h"
-#include "platform/statusreporter.h"
+#include "store/statusreporter.h"
 
 #include <iosfwd>
 
--- /dev/null
+++ b/src/apps/flowlog.cpp
@@ -0,0 +1,101 @@
+#include "apps/flowlog.h"
+
+#include <nlohmann/json.hpp>
+
+namespace hornbeam {
+
+namespace {
+using Fields = nlohmann::ordered_json;
+}
+
+std::string flowText(const FlowKey &flow)
+{
+    return toString(flow.caller) + ">" + toString(flow.service);
+}
+
+FlowLog::FlowLog(EventLog &log, const Clock &clock) : log(log), clock(clock)
+{
+}
+
+void FlowLog::onPlaced(const FlowState &state, const Route &route, uint64_t version, size_t candidates)
+{
+    const std::string event = state.openings > 1 ? "flow_moved" : "flow_placed";
+    if (!this->log.admits(event)) {
+        return;
+    }
+    const Target &target = *state.target;
+    Fields fields{ { "flow", flowText(state.flow) }, { "route", route.name }, { "configuration", version } };
+    fields["service"] = target.record.service;
+    fields["target"] = target.record.name;
+    fields["target_flows"] = target.openFlows;
+    fields["target_phase"] = nameOf(target.phase);
+    fields["candidates"] = candidates;
+    fields["opening"] = state.openings;
+    this->log.add(event, fields);
+}
+
+void FlowLog::onReset(const FlowReset &reset, ResetReason reason, const FlowState *state)
+{
+    if (!this->log.admits("flow_reset")) {
+        return;
+    }
+    Fields fields{ { "flow", flowText(reset.flow) }, { "reason", nameOf(reason) } };
+    if (state != nullptr && state->target != nullptr) {
+        const Target &target = *state->target;
+        fields["target"] = target.record.name;
+        fields["target_phase"] = nameOf(target.phase);
+        fields["target_phase_age_ms"] = this->age(target.phaseSince);
+        fields["target_progress_age_ms"] = this->age(target.lastProgress);
+        fields["target_silent_age_ms"] = this->age(target.silentSince);
+        fields["kind"] = nameOf(state->kind);
+        fields["open"] = state->isOpen;
+        fields["unanswered_ms"] = this->age(state->unansweredSince);
+        fields["repeats"] = state->repeats;
+    }
+    this->log.add("flow_reset", fields);
+}
+
+void FlowLog::onDropped(const FlowPacket &packet, DropReason reason)
+{
+    if (this->log.admits("packet_dropped")) {
+        this->log.add("packet_dropped", { { "flow", flowText(packet.flow) }, { "reason", nameOf(reason) }, { "token", packet.token } });
+    }
+}
+
+void FlowLog::onTargetChange(const TargetChange &change)
+{
+    if (!this->log.admits("target_changed")) {
+        return;
+    }
+    const Target &target = *change.target;
+    this->log.add("target_changed",
+                  { { "target", target.record.name },
+                    { "service", target.record.service },
+                    { "address", toString(target.record.address) },
+                    { "incarnation", target.record.incarnation },
+                    { "from", change.isNew ? std::string_view("unknown") : nameOf(change.before) },
+                    { "to", nameOf(target.phase) },
+                    { "open_flows", target.openFlows } });
+}
+
+void FlowLog::onTargetHealth(const Target &target, CheckOutcome outcome)
+{
+    if (!this->log.admits("target_health")) {
+        return;
+    }
+    this->log.add("target_health",
+                  { { "target", target.record.name },
+                    { "silent", target.isSilent() },
+                    { "check", nameOf(outcome) },
+                    { "failed_checks", target.failedChecks },
+                    { "progress_age_ms", this->age(target.lastProgress) },
+                    { "open_flows", target.openFlows } });
+}
+
+int64_t FlowLog::age(TimePoint since) const
+{
+    constexpr int64_t never = -1;
+    return since == TimePoint{} ? never : std::chrono::duration_cast<milliseconds>(this->clock.now() - since).count();
+}
+
+} // namespace hornbeam
--- /dev/null
+++ b/src/apps/flowlog.h
@@ -0,0 +1,33 @@
+#pragma once
+
+// The log lines of the forwarding of flows: what was decided for a flow, and by what.
+
+#include "apps/eventlog.h"
+#include "flows/flowforwarder.h"
+
+namespace hornbeam {
+
+/** Not thread safe: one event loop owns it. */
+class FlowLog final : public FlowObserver
+{
+public:
+    /** Precondition: the log and the clock outlive this object. */
+    FlowLog(EventLog &log, const Clock &clock);
+
+    void onPlaced(const FlowState &state, const Route &route, uint64_t version, size_t candidates) override;
+    void onReset(const FlowReset &reset, ResetReason reason, const FlowState *state) override;
+    void onDropped(const FlowPacket &packet, DropReason reason) override;
+    void onTargetChange(const TargetChange &change) override;
+    void onTargetHealth(const Target &target, CheckOutcome outcome) override;
+
+private:
+    int64_t age(TimePoint since) const;
+
+    EventLog &log;
+    const Clock &clock;
+};
+
+/** A flow's identifier in logs and queries: "caller>service". Thread safe. */
+std::string flowText(const FlowKey &flow);
+
+} // namespace hornbeam
--- a/src/apps/hornbeamctl.cpp
+++ b/src/apps/hornbeamctl.cpp
@@ -4,7 +4,7 @@
 
 #include "apps/ctlcommands.h"
 #include "apps/tablecells.h"
-#include "platform/httpget.h"
+#include "store/httpget.h"
 
 #include <CLI/CLI.hpp>
 #include <cstdlib>
--- a/src/apps/hornbeamd.cpp
+++ b/src/apps/hornbeamd.cpp
@@ -1,6 +1,7 @@
 // hornbeamd: one balancer instance.
 
 #include "daemon.h"
+#include "flowdaemon.h"
 #include "settings.h"
 
 #include <CLI/CLI.hpp>
@@ -46,6 +47,10 @@
     if (!checked.settings) {
         return hornbeam::checkSettings(path, std::cerr); // prints every fault
     }
+    if (checked.settings->flows.has_value()) {
+        hornbeam::FlowDaemon daemon(*checked.settings, path);
+        return daemon.run();
+    }
     const hornbeam::LoadedKeys keys = hornbeam::loadKeys(checked.settings->keyFiles);
     if (!keys.faults.empty()) {
         return hornbeam::checkSettings(path, std::cerr);
--- a/src/apps/platformloop.cpp
+++ b/src/apps/platformloop.cpp
@@ -17,7 +17,7 @@
     , clock(clock)
     , perform(std::move(perform))
     , client(this->context, counters, PlatformSettings{ settings.platform })
-    , tableWatcher(this->client, clock, std::random_device()(), [this](const std::vector<PlatformObject> &objects) { this->onTables(objects); })
+    , tableWatcher(this->client, clock, std::random_device()(), std::string(tablePrefix), [this](const ObjectsRead &read) { this->onTables(read.objects); })
     , statusReporter(this->client, clock)
     , timer(this->context)
 {
--- a/src/apps/platformloop.h
+++ b/src/apps/platformloop.h
@@ -4,9 +4,9 @@
 
 #include "node/node.h"
 #include "platform/platformclient.h"
-#include "platform/statusreporter.h"
-#include "platform/tablewatcher.h"
 #include "settings.h"
+#include "store/objectwatcher.h"
+#include "store/statusreporter.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -41,7 +41,7 @@
     const ActionsHandler perform;
     boost::asio::io_context context{ 1 };
     PlatformClient client;
-    TableWatcher tableWatcher;
+    ObjectWatcher tableWatcher;
     StatusReporter statusReporter;
     boost::asio::steady_timer timer;
     TimePoint nextInstances;
--- a/src/apps/settings.cpp
+++ b/src/apps/settings.cpp
@@ -138,6 +138,20 @@
     settings.keyFiles = files->get<std::vector<std::string>>();
 }
 
+void readFlows(JsonFields &fields, DaemonSettings &settings, std::vector<Fault> &faults)
+{
+    const json *object = fields.object("flows");
+    if (object == nullptr) {
+        return;
+    }
+    settings.flows.emplace();
+    JsonFields part(*object, "flows", faults);
+    readEndpoint(part, "packet_address", settings.flows->packets);
+    readEndpoint(part, "readiness_address", settings.flows->readiness);
+    readFlowTunables(part, settings.flows->parts);
+    part.finish();
+}
+
 void readSeeds(JsonFields &fields, DaemonSettings &settings, std::vector<Fault> &faults)
 {
     const json *seeds = fields.array("seeds");
@@ -192,7 +206,10 @@
         fields.fault("metrics_port", "another port than peer_port");
     }
     readEndpoint(fields, "platform", settings.platform);
-    readKeyFiles(fields, settings);
+    readFlows(fields, settings, checked.faults);
+    if (!settings.flows.has_value()) {
+        readKeyFiles(fields, settings);
+    }
     readCount(fields, "workers", maxWorkers, settings.workers);
     readCount(fields, "drain_seconds", maxDrainSeconds, settings.drainSeconds);
     readSeeds(fields, settings, checked.faults);
@@ -246,6 +263,11 @@
                  { "workers", settings.workers },
                  { "drain_seconds", settings.drainSeconds },
                  { "seeds", seeds } };
+    if (settings.flows.has_value()) {
+        object.erase("key_files");
+        object["flows"] = { { "packet_address", toString(settings.flows->packets) }, { "readiness_address", toString(settings.flows->readiness) } };
+        writeFlowTunables(settings.flows->parts, object["flows"]);
+    }
     writeTunables(settings.parts, object);
     return object.dump(2, ' ', false, json::error_handler_t::replace) + "\n";
 }
--- a/src/apps/settings.h
+++ b/src/apps/settings.h
@@ -4,6 +4,7 @@
 
 #include "core/jsonfields.h"
 #include "core/types.h"
+#include "flows/flowsettings.h"
 #include "node/node.h"
 
 #include <iosfwd>
@@ -21,6 +22,14 @@
     bool operator==(const PeerSeed &) const = default;
 };
 
+/** What an instance needs that forwards the flows of routes; one that has no such settings serves the CoAP services of tables. */
+struct FlowServiceSettings
+{
+    Endpoint packets;   // UDP: callers' packets arrive here, and resets are sent to its port at the caller
+    Endpoint readiness; // TCP, HTTP: whether routers may send packets here
+    FlowSettings parts; // tunables of the forwarding
+};
+
 struct DaemonSettings
 {
     std::string name;                  // of this instance, unique in the system
@@ -29,11 +38,12 @@
     uint16_t peerPort = 7946;          // UDP and TCP, 1 to 65535
     uint16_t metricsPort = 9464;       // TCP, HTTP with the counters, 1 to 65535, not the peer port
     Endpoint platform;                 // of the platform's object API
-    std::vector<std::string> keyFiles; // 1 or 2; the first signs, both verify
+    std::vector<std::string> keyFiles; // 1 or 2; the first signs, both verify; none when flows are forwarded
     uint32_t workers = 2;              // threads, 1 to 256
     uint32_t drainSeconds = 30;        // at most, from SIGTERM to the exit, 1 to 3600
     std::vector<PeerSeed> seeds;       // may be empty
     NodeSettings parts;                // tunables of the parts; drainLimit follows drainSeconds
+    std::optional<FlowServiceSettings> flows;
 };
 
 /** Either settings, or all faults that were found. */
--- a/src/apps/tunables.cpp
+++ b/src/apps/tunables.cpp
@@ -79,6 +79,36 @@
     tunable<&NodeSettings::membership, &MembershipSettings::indirectProbes>("membership", "indirect_probes", 1, 10),
 };
 
+/** One number of the settings of the flows; durations are in ms. */
+struct FlowTunable
+{
+    const char *key;
+    uint64_t low;
+    uint64_t high;
+    uint64_t (*get)(const FlowSettings &flows);
+    void (*set)(FlowSettings &flows, uint64_t number);
+};
+
+template<auto Field>
+constexpr FlowTunable flowTunable(const char *key, uint64_t low, uint64_t high)
+{
+    return { key, low, high, [](const FlowSettings &flows) { return toNumber(flows.*Field); },
+             [](FlowSettings &flows, uint64_t number) { assign(flows.*Field, number); } };
+}
+
+constexpr FlowTunable flowTunables[] = {
+    flowTunable<&FlowSettings::absence>("absence_ms", 100, minuteMs),
+    flowTunable<&FlowSettings::tokenLifetime>("token_lifetime_ms", 1000, hourMs),
+    flowTunable<&FlowSettings::freshness>("freshness_ms", 100, minuteMs),
+    flowTunable<&FlowSettings::openingPatience>("opening_patience_ms", 5, 1000),
+    flowTunable<&FlowSettings::checkInterval>("check_interval_ms", 10, minuteMs),
+    flowTunable<&FlowSettings::checkTimeout>("check_timeout_ms", 10, 5000),
+    flowTunable<&FlowSettings::checksToFail>("checks_to_fail", 1, 10),
+    flowTunable<&FlowSettings::silentCheck>("silent_check_ms", 10, minuteMs),
+    flowTunable<&FlowSettings::silentCheckMax>("silent_check_max_ms", 10, minuteMs),
+    flowTunable<&FlowSettings::maxFlows>("max_flows", 1, 1U << 24U),
+};
+
 /** What the ranges of single values can't say. */
 void checkTogether(const std::string &group, const NodeSettings &node, JsonFields &part)
 {
@@ -116,6 +146,22 @@
     }
 }
 
+void readFlowTunables(JsonFields &fields, FlowSettings &flows)
+{
+    for (const FlowTunable &row : flowTunables) {
+        uint64_t number = row.get(flows);
+        fields.number(row.key, row.low, row.high, number);
+        row.set(flows, number);
+    }
+}
+
+void writeFlowTunables(const FlowSettings &flows, nlohmann::json &object)
+{
+    for (const FlowTunable &row : flowTunables) {
+        object[row.key] = row.get(flows);
+    }
+}
+
 void writeTunables(const NodeSettings &node, nlohmann::json &object)
 {
     for (const Tunable &row : tunables) {
--- a/src/core/clock.h
+++ b/src/core/clock.h
@@ -4,6 +4,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <ctime>
 
 namespace hornbeam {
 
@@ -26,9 +27,12 @@
 class SystemClock final : public Clock
 {
 public:
+    // counts the time that the machine was suspended, so that beliefs age during it
     TimePoint now() const override
     {
-        return std::chrono::steady_clock::now();
+        timespec time{};
+        ::clock_gettime(CLOCK_BOOTTIME, &time);
+        return TimePoint(seconds(time.tv_sec) + std::chrono::nanoseconds(time.tv_nsec));
     }
     uint64_t wallMillis() const override
     {
--- /dev/null
+++ b/src/flows/flowforwarder.cpp
@@ -0,0 +1,304 @@
+// Sections: packets in | opening | established | beliefs | timers | state
+
+#include "flows/flowforwarder.h"
+
+#include <algorithm>
+
+namespace hornbeam {
+
+namespace {
+constexpr Duration expiryInterval = seconds(1);
+}
+
+FlowForwarder::FlowForwarder(const FlowSettings &settings, ZoneId ownZone, uint64_t seed, const Clock &clock, FlowObserver &observer)
+    : settings(settings)
+    , ownZone(ownZone)
+    , clock(clock)
+    , observer(observer)
+    , directory(this->settings)
+    , tracker(this->settings, this->counters.events[static_cast<size_t>(FlowCounter::FlowsForgotten)])
+    , health(this->settings, this->counters)
+    , chooser(this->settings, ownZone, seed)
+{
+}
+
+//--- Packets in
+
+PacketDecision FlowForwarder::onPacket(const FlowPacket &packet, FlowActions &out)
+{
+    return packet.isOpening ? this->open(packet, out) : this->forwardEstablished(packet, out);
+}
+
+//--- Opening
+
+PacketDecision FlowForwarder::open(const FlowPacket &packet, FlowActions &out)
+{
+    if (!this->routes.isLoaded()) {
+        return this->drop(packet, DropReason::NoConfiguration);
+    }
+    const Route *route = this->routes.find(packet.flow.service);
+    if (route == nullptr && this->routes.isDropped(packet.flow.service)) {
+        return this->refuse(packet, ResetReason::RouteDropped, nullptr);
+    }
+    if (route == nullptr) {
+        return this->isConfigurationFresh() ? this->refuse(packet, ResetReason::RouteUnknown, nullptr) : this->drop(packet, DropReason::RouteUnconfirmed);
+    }
+    if (!this->directory.isLoaded()) {
+        return this->drop(packet, DropReason::NoTargets);
+    }
+    return this->place(packet, *route, out);
+}
+
+PacketDecision FlowForwarder::place(const FlowPacket &packet, const Route &route, FlowActions &out)
+{
+    const TimePoint now = this->clock.now();
+    FlowState *known = this->tracker.find(packet.flow);
+    if (known != nullptr && (known->openingSequence != packet.sequence || known->isClosing || known->isReset)) {
+        this->tracker.remove(packet.flow); // the caller uses the port again
+        known = nullptr;
+    }
+    TargetPtr first = known != nullptr ? known->target : nullptr;
+    if (first != nullptr && (known->isOpen || first->lastProgress > known->firstSeen) && first->phase == TargetPhase::Ready && !first->isSilent()) {
+        ++known->openings;
+        known->lastSeen = now;
+        return this->forwardTo(first, first->token); // the target answers: this packet or its answer was lost
+    }
+    if (first != nullptr && this->health.addEvidence(*first, known->firstSeen, now)) {
+        this->beginCheck(first, out);
+    }
+    const std::string *service = RouteTable::serviceOf(route, packet.flow);
+    const std::vector<TargetPtr> &candidates = this->directory.targetsOf(service == nullptr ? std::string() : *service);
+    TargetPtr target = this->chooser.choose(candidates, first, now);
+    if (target == nullptr && first != nullptr) {
+        target = this->chooser.choose(candidates, nullptr, now);
+    }
+    if (target == nullptr) {
+        return this->refuse(packet, ResetReason::NoTarget, nullptr);
+    }
+    FlowState &state = this->tracker.add(packet.flow, now);
+    state.openingSequence = packet.sequence;
+    state.kind = route.kind;
+    ++state.openings;
+    this->tracker.assign(state, target);
+    this->tracker.addOpening(state, now);
+    this->counters.add(first == nullptr ? FlowCounter::FlowsPlaced : FlowCounter::FlowsMoved);
+    this->counters.add(FlowCounter::PlacedOtherZone, target->record.zone == this->ownZone ? 0 : 1);
+    this->observer.onPlaced(state, route, this->routes.version(), candidates.size());
+    return this->forwardTo(target, target->token);
+}
+
+//--- Established
+
+PacketDecision FlowForwarder::forwardEstablished(const FlowPacket &packet, FlowActions &out)
+{
+    if (packet.token == 0) {
+        return this->drop(packet, DropReason::NoToken);
+    }
+    const TimePoint now = this->clock.now();
+    FlowState &state = this->tracker.add(packet.flow, now);
+    const TargetPtr target = this->directory.findToken(packet.token);
+    if (target == nullptr) {
+        return this->forwardUnknown(packet, state, out);
+    }
+    this->tracker.assign(state, target);
+    const Route *route = this->routes.find(packet.flow.service);
+    if (route != nullptr) {
+        state.kind = route->kind;
+    } else if (this->routes.isDropped(packet.flow.service)) {
+        return this->refuse(packet, ResetReason::RouteDropped, &state);
+    }
+    if (target->phase == TargetPhase::Departed) {
+        return this->refuse(packet, ResetReason::TargetDeparted, &state);
+    }
+    const FlowEvidence evidence = this->tracker.observe(state, packet, now);
+    if (evidence == FlowEvidence::Progress) {
+        this->health.addProgress(*target, now);
+    }
+    if (packet.isReset || packet.isClosing) {
+        return this->forwardTo(target, packet.token);
+    }
+    if (target->isSilent()) {
+        return this->refuse(packet, ResetReason::TargetSilent, &state);
+    }
+    if (evidence == FlowEvidence::Repeat && this->health.addEvidence(*target, state.unansweredSince, now)) {
+        this->beginCheck(target, out);
+    }
+    return this->forwardTo(target, packet.token);
+}
+
+// the token may be of a target that registered a moment ago, or of one that left before this process started
+PacketDecision FlowForwarder::forwardUnknown(const FlowPacket &packet, FlowState &state, FlowActions &out)
+{
+    this->tracker.assign(state, nullptr);
+    const TimePoint confirmed = this->directory.confirmedAt();
+    if (this->directory.isLoaded() && confirmed - state.firstSeen >= this->settings.absence) {
+        return this->refuse(packet, ResetReason::TargetUnknown, &state);
+    }
+    out.wantsTargets = true;
+    return this->drop(packet, DropReason::TargetUnconfirmed);
+}
+
+PacketDecision FlowForwarder::forwardTo(const TargetPtr &target, RoutingToken token)
+{
+    this->counters.add(FlowCounter::PacketsForwarded);
+    PacketDecision decision;
+    decision.kind = PacketDecision::Kind::Forward;
+    decision.target = target;
+    decision.token = token;
+    return decision;
+}
+
+PacketDecision FlowForwarder::drop(const FlowPacket &packet, DropReason reason)
+{
+    this->counters.add(reason);
+    this->observer.onDropped(packet, reason);
+    return {};
+}
+
+PacketDecision FlowForwarder::refuse(const FlowPacket &packet, ResetReason reason, FlowState *state)
+{
+    this->counters.add(reason);
+    PacketDecision decision;
+    decision.kind = PacketDecision::Kind::Reset;
+    decision.reset = { packet.flow, packet.isOpening ? packet.sequence : packet.acknowledged };
+    this->observer.onReset(decision.reset, reason, state);
+    if (state != nullptr) {
+        this->tracker.markReset(*state);
+    }
+    return decision;
+}
+
+//--- Beliefs
+
+RouteTable::Update FlowForwarder::onConfiguration(const RouteConfiguration &configuration, FlowActions &)
+{
+    return this->routes.update(configuration);
+}
+
+void FlowForwarder::onConfigurationConfirmed(TimePoint asked)
+{
+    this->configurationConfirmed = std::max(this->configurationConfirmed, asked);
+}
+
+void FlowForwarder::onTargets(const std::vector<TargetRecord> &records, TimePoint asked, FlowActions &out)
+{
+    this->report(this->directory.updateAll(records, asked, this->clock.now()), out);
+}
+
+void FlowForwarder::onTargetChanges(const std::vector<TargetRecord> &updated, const std::vector<std::string> &removed, TimePoint asked, FlowActions &out)
+{
+    const TimePoint now = this->clock.now();
+    for (const TargetRecord &record : updated) {
+        this->report(this->directory.update(record, now), out);
+    }
+    for (const std::string &name : removed) {
+        this->report(this->directory.remove(name, now), out);
+    }
+    this->report(this->directory.confirm(asked, now), out);
+}
+
+void FlowForwarder::report(const std::vector<TargetChange> &changes, FlowActions &out)
+{
+    for (const TargetChange &change : changes) {
+        this->observer.onTargetChange(change);
+        if (!change.isNew && change.target->phase == TargetPhase::Departed) {
+            this->resetFlows(change.target, ResetReason::TargetDeparted, out);
+        }
+    }
+}
+
+void FlowForwarder::endCheck(const TargetPtr &target, CheckOutcome outcome, FlowActions &out)
+{
+    const TimePoint now = this->clock.now();
+    const bool wasSilent = target->isSilent();
+    const bool hasFallenSilent = this->health.endCheck(*target, outcome, now);
+    if (wasSilent != target->isSilent()) {
+        this->observer.onTargetHealth(*target, outcome);
+    }
+    if (hasFallenSilent) {
+        this->resetFlows(target, ResetReason::TargetSilent, out);
+    } else if (outcome != CheckOutcome::Connected && !target->isSilent() && target->lastProgress <= target->checkedAt) {
+        this->beginCheck(target, out);
+    }
+}
+
+void FlowForwarder::resetFlows(const TargetPtr &target, ResetReason reason, FlowActions &out)
+{
+    for (FlowState *state : this->tracker.flowsOf(target)) {
+        if (state->isReset || state->isClosing) {
+            continue;
+        }
+        this->counters.add(reason);
+        const FlowReset reset{ state->flow, state->isOpen ? state->acknowledged : state->openingSequence };
+        out.resets.push_back(reset);
+        this->observer.onReset(reset, reason, state);
+        this->tracker.markReset(*state);
+    }
+}
+
+//--- Timers
+
+void FlowForwarder::tick(FlowActions &out)
+{
+    const TimePoint now = this->clock.now();
+    for (FlowState *state : this->tracker.takeUnanswered(now - this->settings.openingPatience)) {
+        if (this->health.addEvidence(*state->target, state->firstSeen, now)) {
+            this->beginCheck(state->target, out);
+        }
+    }
+    for (const TargetPtr &target : this->directory.all()) {
+        if (target->phase != TargetPhase::Departed && this->health.isDue(*target, now)) {
+            this->beginCheck(target, out);
+        }
+    }
+    if (now >= this->nextExpiry) {
+        this->nextExpiry = now + expiryInterval;
+        this->tracker.expire(now, this->routes.idleTimeout());
+        this->directory.expire(now);
+    }
+}
+
+void FlowForwarder::beginCheck(const TargetPtr &target, FlowActions &out)
+{
+    this->health.beginCheck(*target, this->clock.now());
+    out.checks.push_back(target);
+}
+
+//--- State
+
+bool FlowForwarder::isReady() const
+{
+    return this->routes.isLoaded() && this->directory.isLoaded();
+}
+
+const RouteTable &FlowForwarder::routeTable() const
+{
+    return this->routes;
+}
+
+const TargetDirectory &FlowForwarder::targetDirectory() const
+{
+    return this->directory;
+}
+
+const FlowCounters &FlowForwarder::flowCounters() const
+{
+    return this->counters;
+}
+
+FlowCounters &FlowForwarder::flowCounters()
+{
+    return this->counters;
+}
+
+size_t FlowForwarder::flowCount() const
+{
+    return this->tracker.size();
+}
+
+bool FlowForwarder::isConfigurationFresh() const
+{
+    return this->clock.now() - this->configurationConfirmed < this->settings.freshness;
+}
+
+} // namespace hornbeam
--- /dev/null
+++ b/src/flows/passivehealth.h
@@ -0,0 +1,45 @@
+#pragma once
+
+// Which targets have fallen silent. The callers' packets give the evidence, a connection to the target the verdict: a lost packet or one
+// harmed link of a caller condemns no target, and one flow of a dead target is enough to find it.
+
+#include "core/clock.h"
+#include "flows/flowcounters.h"
+#include "flows/flowsettings.h"
+#include "flows/targetdirectory.h"
+
+namespace hornbeam {
+
+/** How a connection check of a target ended. */
+enum class CheckOutcome : uint8_t {
+    Connected,
+    Refused,  // the host answers, and nothing listens there
+    TimedOut, // nothing answered
+    Count,
+};
+
+std::string_view nameOf(CheckOutcome outcome);
+
+/** Not thread safe: one event loop owns it. */
+class PassiveHealth
+{
+public:
+    PassiveHealth(const FlowSettings &settings, FlowCounters &counters);
+
+    /** A flow showed that the target answers. */
+    void addProgress(Target &target, TimePoint now);
+    /** A flow has waited for the target's answer since `since`. Returns whether its connection is to be checked now. */
+    bool addEvidence(Target &target, TimePoint since, TimePoint now);
+    /** Whether a silent target is to be checked again. */
+    bool isDue(const Target &target, TimePoint now) const;
+    /** A check has begun. */
+    void beginCheck(Target &target, TimePoint now);
+    /** What the check gave. Returns whether the target has just become silent. */
+    bool endCheck(Target &target, CheckOutcome outcome, TimePoint now);
+
+private:
+    const FlowSettings &settings;
+    FlowCounters &counters;
+};
+
+} // namespace hornbeam
--- /dev/null
+++ b/src/flows/targetchooser.cpp
@@ -0,0 +1,57 @@
+#include "flows/targetchooser.h"
+
+namespace hornbeam {
+
+namespace {
+// a target that has just started serves about this share of what it serves later
+constexpr double warmingSpeed = 0.6;
+}
+
+TargetChooser::TargetChooser(const FlowSettings &settings, ZoneId ownZone, uint64_t seed)
+    : settings(settings), ownZone(ownZone), random(static_cast<std::minstd_rand::result_type>(seed))
+{
+}
+
+TargetPtr TargetChooser::choose(const std::vector<TargetPtr> &targets, const TargetPtr &excluded, TimePoint now)
+{
+    for (const TargetPhase phase : { TargetPhase::Ready, TargetPhase::Missing }) {
+        for (const bool inOwnZone : { true, false }) {
+            TargetPtr best = this->leastLoaded(targets, excluded, phase, inOwnZone, now);
+            if (best != nullptr) {
+                return best;
+            }
+        }
+    }
+    return nullptr;
+}
+
+double TargetChooser::loadOf(const Target &target, TimePoint now) const
+{
+    const double speed = now < target.warmUntil ? warmingSpeed : 1.0;
+    return (target.openFlows + 1) / (target.record.slots * speed);
+}
+
+TargetPtr TargetChooser::leastLoaded(const std::vector<TargetPtr> &targets, const TargetPtr &excluded, TargetPhase phase, bool inOwnZone, TimePoint now)
+{
+    TargetPtr best;
+    double bestLoad = 0;
+    uint32_t ties = 0;
+    for (const TargetPtr &target : targets) {
+        const bool isCandidate =
+            target->phase == phase && !target->isSilent() && !target->isShadowed && target != excluded && (target->record.zone == this->ownZone) == inOwnZone;
+        if (!isCandidate) {
+            continue;
+        }
+        const double load = this->loadOf(*target, now);
+        if (best == nullptr || load < bestLoad) {
+            best = target;
+            bestLoad = load;
+            ties = 1;
+        } else if (load == bestLoad && this->random() % ++ties == 0) {
+            best = target;
+        }
+    }
+    return best;
+}
+
+} // namespace hornbeam
--- /dev/null
+++ b/src/flows/targetdirectory.cpp
@@ -0,0 +1,220 @@
+#include "flows/targetdirectory.h"
+
+#include <algorithm>
+#include <array>
+#include <set>
+
+namespace hornbeam {
+
+std::string_view nameOf(TargetPhase phase)
+{
+    constexpr std::array<std::string_view, static_cast<size_t>(TargetPhase::Count)> names{ "ready", "draining", "missing", "departed" };
+    return names[static_cast<size_t>(phase)];
+}
+
+RoutingToken routingTokenOf(const TargetRecord &record)
+{
+    const uint64_t hash = mixHash(hashName(record.name), record.incarnation);
+    const auto token = static_cast<RoutingToken>(hash ^ (hash >> 32U));
+    return token == 0 ? 1 : token;
+}
+
+TargetDirectory::TargetDirectory(const FlowSettings &settings) : settings(settings)
+{
+}
+
+std::vector<TargetChange> TargetDirectory::updateAll(const std::vector<TargetRecord> &records, TimePoint asked, TimePoint now)
+{
+    std::vector<TargetChange> changes;
+    std::set<std::string> names;
+    for (const TargetRecord &record : records) {
+        names.insert(record.name);
+        this->add(record, now, changes);
+    }
+    std::vector<TargetPtr> absent;
+    for (const auto &[name, target] : this->listed) {
+        if (!names.contains(name)) {
+            absent.push_back(target);
+        }
+    }
+    for (const TargetPtr &target : absent) {
+        this->miss(target, now, changes);
+    }
+    this->loaded = true;
+    for (TargetChange &change : this->confirm(asked, now)) {
+        changes.push_back(std::move(change));
+    }
+    return changes;
+}
+
+std::vector<TargetChange> TargetDirectory::update(const TargetRecord &record, TimePoint now)
+{
+    std::vector<TargetChange> changes;
+    this->add(record, now, changes);
+    return changes;
+}
+
+std::vector<TargetChange> TargetDirectory::remove(const std::string &name, TimePoint now)
+{
+    std::vector<TargetChange> changes;
+    const auto found = this->listed.find(name);
+    if (found != this->listed.end()) {
+        this->miss(found->second, now, changes);
+    }
+    return changes;
+}
+
+std::vector<TargetChange> TargetDirectory::confirm(TimePoint asked, TimePoint now)
+{
+    std::vector<TargetChange> changes;
+    this->confirmed = std::max(this->confirmed, asked);
+    std::vector<TargetPtr> gone;
+    for (const auto &[name, target] : this->listed) {
+        if (target->phase == TargetPhase::Missing && asked - target->phaseSince >= this->settings.absence) {
+            gone.push_back(target);
+        }
+    }
+    for (const TargetPtr &target : gone) {
+        this->unlist(target);
+        this->listed.erase(target->record.name);
+        this->setPhase(target, TargetPhase::Departed, now, changes);
+        this->departed.push_back(target);
+    }
+    return changes;
+}
+
+void TargetDirectory::expire(TimePoint now)
+{
+    std::erase_if(this->departed, [&](const TargetPtr &target) {
+        if (now - target->phaseSince < this->settings.tokenLifetime) {
+            return false;
+        }
+        const auto found = this->tokens.find(target->token);
+        if (found != this->tokens.end() && found->second == target) {
+            this->tokens.erase(found);
+        }
+        return true;
+    });
+}
+
+bool TargetDirectory::isLoaded() const
+{
+    return this->loaded;
+}
+
+TimePoint TargetDirectory::confirmedAt() const
+{
+    return this->confirmed;
+}
+
+bool TargetDirectory::hasMissing() const
+{
+    return std::any_of(this->listed.begin(), this->listed.end(), [](const auto &entry) { return entry.second->phase == TargetPhase::Missing; });
+}
+
+TargetPtr TargetDirectory::findToken(RoutingToken token) const
+{
+    const auto found = this->tokens.find(token);
+    return found == this->tokens.end() ? nullptr : found->second;
+}
+
+const std::vector<TargetPtr> &TargetDirectory::targetsOf(const std::string &service) const
+{
+    static const std::vector<TargetPtr> none;
+    const auto found = this->services.find(service);
+    return found == this->services.end() ? none : found->second;
+}
+
+std::vector<TargetPtr> TargetDirectory::all() const
+{
+    std::vector<TargetPtr> targets;
+    for (const auto &[name, target] : this->listed) {
+        targets.push_back(target);
+    }
+    targets.insert(targets.end(), this->departed.begin(), this->departed.end());
+    return targets;
+}
+
+void TargetDirectory::add(const TargetRecord &record, TimePoint now, std::vector<TargetChange> &changes)
+{
+    TargetPtr &slot = this->listed[record.name];
+    if (slot != nullptr && slot->record.incarnation > record.incarnation) {
+        return; // an answer that left the store before the newer process registered
+    }
+    if (slot != nullptr && (slot->record.incarnation != record.incarnation || slot->record.service != record.service)) {
+        // the process before has ended: it was replaced under its own name
+        const TargetPtr before = slot;
+        this->unlist(before);
+        this->setPhase(before, TargetPhase::Departed, now, changes);
+        this->departed.push_back(before);
+        slot = nullptr;
+    }
+    const bool isNew = slot == nullptr;
+    if (isNew) {
+        slot = this->takeDeparted(record);
+        slot->phaseSince = now;
+        slot->record = record;
+        this->claimToken(slot);
+        auto &list = this->services[record.service];
+        const auto behind = std::find_if(list.begin(), list.end(), [&](const TargetPtr &other) { return other->record.name > record.name; });
+        list.insert(behind, slot);
+        changes.push_back({ slot, TargetPhase::Departed, true });
+    }
+    slot->record = record;
+    slot->warmUntil = now + record.warmupLeft;
+    const TargetPhase phase = record.isDraining ? TargetPhase::Draining : TargetPhase::Ready;
+    if (isNew) {
+        slot->phase = phase;
+    } else if (slot->phase != phase) {
+        this->setPhase(slot, phase, now, changes);
+    }
+}
+
+TargetPtr TargetDirectory::takeDeparted(const TargetRecord &record)
+{
+    const auto same = [&](const TargetPtr &target) { return target->record.name == record.name && target->record.incarnation == record.incarnation; };
+    const auto found = std::find_if(this->departed.begin(), this->departed.end(), same);
+    if (found == this->departed.end()) {
+        return std::make_shared<Target>();
+    }
+    const TargetPtr target = *found;
+    this->departed.erase(found);
+    return target;
+}
+
+void TargetDirectory::claimToken(const TargetPtr &target)
+{
+    target->token = routingTokenOf(target->record);
+    TargetPtr &holder = this->tokens[target->token];
+    const auto age = [](const TargetPtr &of) { return std::pair(of->record.incarnation, of->record.name); };
+    if (holder != nullptr && holder != target && age(holder) < age(target)) {
+        target->isShadowed = true;
+        return;
+    }
+    if (holder != nullptr && holder != target) {
+        holder->isShadowed = true;
+    }
+    target->isShadowed = false;
+    holder = target;
+}
+
+void TargetDirectory::setPhase(const TargetPtr &target, TargetPhase phase, TimePoint now, std::vector<TargetChange> &changes)
+{
+    changes.push_back({ target, target->phase, false });
+    target->phase = phase;
+    target->phaseSince = now;
+}
+
+void TargetDirectory::miss(const TargetPtr &target, TimePoint now, std::vector<TargetChange> &changes)
+{
+    if (target->phase != TargetPhase::Missing) {
+        this->setPhase(target, TargetPhase::Missing, now, changes);
+    }
+}
+
+void TargetDirectory::unlist(const TargetPtr &target)
+{
+    std::erase(this->services[target->record.service], target);
+}
+
+} // namespace hornbeam
--- a/src/platform/httpget.cpp
+++ b/src/store/httpget.cpp
@@ -1,4 +1,4 @@
-#include "platform/httpget.h"
+#include "store/httpget.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
--- /dev/null
+++ b/src/store/objectwatcher.cpp
@@ -0,0 +1,98 @@
+#include "store/objectwatcher.h"
+
+#include <algorithm>
+
+namespace hornbeam {
+
+ObjectWatcher::ObjectWatcher(PlatformApi &api, const Clock &clock, uint64_t seed, std::string prefix, ObjectsCallback onObjects,
+                             const WatcherSettings &settings)
+    : api(api)
+    , clock(clock)
+    , random(static_cast<std::minstd_rand::result_type>(seed))
+    , prefix(std::move(prefix))
+    , onObjects(std::move(onObjects))
+    , settings(settings)
+    , due(clock.now() + settings.safetyPoll)
+{
+}
+
+void ObjectWatcher::setFailureCallback(FailureCallback callback)
+{
+    this->onFailure = std::move(callback);
+}
+
+void ObjectWatcher::tick(bool isWatcher)
+{
+    const TimePoint now = this->clock.now();
+    if (isWatcher && !this->isWatching && this->failures == 0) {
+        this->due = now; // the role is new
+    }
+    this->isWatching = isWatcher;
+    if (this->isBusy || now < this->due) {
+        return;
+    }
+    if (isWatcher && this->isListed) {
+        this->beginWatch();
+    } else {
+        this->beginList();
+    }
+}
+
+void ObjectWatcher::setHurry(bool isHurried)
+{
+    this->isHurried = isHurried;
+}
+
+void ObjectWatcher::callNow()
+{
+    this->due = std::min(this->due, this->clock.now());
+}
+
+void ObjectWatcher::beginList()
+{
+    this->isBusy = true;
+    this->asked = this->clock.now();
+    this->api.list(this->prefix, [this](const PlatformReply &reply) { this->onReply(reply, true); });
+}
+
+void ObjectWatcher::beginWatch()
+{
+    this->isBusy = true;
+    this->asked = this->clock.now();
+    const Duration timeout = this->isHurried ? this->settings.shortTimeout : this->settings.watchTimeout;
+    this->api.watch(this->prefix, this->revision, timeout, [this](const PlatformReply &reply) { this->onReply(reply, false); });
+}
+
+void ObjectWatcher::onReply(const PlatformReply &reply, bool isWhole)
+{
+    this->isBusy = false;
+    const TimePoint now = this->clock.now();
+    if (!reply.isOk()) {
+        this->isListed = false; // a platform that comes back may have forgotten its changes
+        this->due = now + (reply.outcome == PlatformOutcome::HistoryGone ? Duration{ 0 } : this->nextBackoff());
+        if (this->onFailure) {
+            this->onFailure(reply);
+        }
+        return;
+    }
+    this->failures = 0;
+    this->isListed = this->isWatching;
+    this->revision = reply.revision;
+    this->due = this->isWatching ? now + this->settings.pause : now + this->settings.safetyPoll;
+    this->onObjects({ reply.objects, isWhole, this->asked });
+}
+
+Duration ObjectWatcher::nextBackoff()
+{
+    const Duration full = std::min(this->settings.maxBackoff, this->settings.firstBackoff * (1U << std::min(this->failures, 8U)));
+    ++this->failures;
+    std::uniform_int_distribution<Duration::rep> jitter(0, full.count() / 2);
+    return full / 2 + Duration(jitter(this->random));
+}
+
+bool ObjectWatcher::isReachable() const
+{
+    return this->failures == 0;
+}
+
+} // namespace hornbeam
--- /dev/null
+++ b/src/store/objectwatcher.h
@@ -0,0 +1,74 @@
+#pragma once
+
+// Reads the objects of one kind from the platform's store and follows their changes. Full rate on a watcher, a rare safety poll on all others.
+
+#include "store/platformapi.h"
+
+#include <random>
+
+namespace hornbeam {
+
+struct WatcherSettings
+{
+    Duration watchTimeout = seconds(30); // of one long poll
+    Duration shortTimeout = seconds(30); // of one long poll while a change is awaited
+    Duration pause = milliseconds(0);    // from an answer to the next call, so that changes that come together cost one call
+    Duration firstBackoff = milliseconds(250);
+    Duration maxBackoff = seconds(10);  // between two failed calls, half of it jitter
+    Duration safetyPoll = seconds(300); // of a member that is not a watcher
+};
+
+/** The objects of one answer. */
+struct ObjectsRead
+{
+    const std::vector<PlatformObject> &objects; // all of the kind, or those that changed
+    bool isWhole = false;
+    TimePoint asked; // when the call began: the answer is at least as new
+};
+
+/** Not thread safe: the event loop that owns the PlatformApi owns it too, and it outlives its calls. */
+class ObjectWatcher
+{
+public:
+    using ObjectsCallback = std::function<void(const ObjectsRead &)>;
+    using FailureCallback = std::function<void(const PlatformReply &)>;
+
+    /** Watches the objects whose keys begin with `prefix`. Precondition: the API and the clock outlive this object. */
+    ObjectWatcher(PlatformApi &api, const Clock &clock, uint64_t seed, std::string prefix, ObjectsCallback onObjects, const WatcherSettings &settings = {});
+
+    /** Sets who is told of failed calls. */
+    void setFailureCallback(FailureCallback callback);
+    /** Begins the next call when it is due. Call it a few times a second with whether this member watches. */
+    void tick(bool isWatcher);
+    /** Uses the short timeout for the next long polls, or no longer. */
+    void setHurry(bool isHurried);
+    /** Gives up the wait before the next call. */
+    void callNow();
+
+    /** Whether the last call succeeded; true before the first. */
+    bool isReachable() const;
+
+private:
+    void beginList();
+    void beginWatch();
+    void onReply(const PlatformReply &reply, bool isWhole);
+    Duration nextBackoff();
+
+    PlatformApi &api;
+    const Clock &clock;
+    std::minstd_rand random;
+    const std::string prefix;
+    ObjectsCallback onObjects;
+    FailureCallback onFailure;
+    const WatcherSettings settings;
+    bool isWatching = false; // as of the last tick
+    bool isBusy = false;     // a call waits for its answer
+    bool isListed = false;   // `revision` may be watched from
+    bool isHurried = false;
+    uint64_t revision = 0;
+    uint32_t failures = 0; // in a row
+    TimePoint asked;       // when the last call began
+    TimePoint due;
+};
+
+} // namespace hornbeam
--- /dev/null
+++ b/src/store/platformapi.cpp
@@ -0,0 +1,32 @@
+#include "store/platformapi.h"
+
+#include <array>
+#include <nlohmann/json.hpp>
+
+namespace hornbeam {
+
+namespace {
+std::string textAt(const nlohmann::json &entry, const char *key)
+{
+    const auto found = entry.find(key);
+    return found != entry.end() && found->is_string() ? found->get<std::string>() : std::string();
+}
+}
+
+std::string_view nameOf(PlatformOutcome outcome)
+{
+    constexpr std::array<std::string_view, 7> names{ "ok", "not_found", "conflict", "unavailable", "malformed", "unknown", "history_gone" };
+    return names[static_cast<size_t>(outcome)];
+}
+
+void readInstances(PlatformReply &reply)
+{
+    for (const PlatformObject &object : reply.objects) {
+        const nlohmann::json entry = nlohmann::json::parse(object.value, nullptr, false);
+        if (entry.is_object()) {
+            reply.instances.push_back({ object.key.substr(instancePrefix.size()), textAt(entry, "zone"), textAt(entry, "address"), textAt(entry, "state") });
+        }
+    }
+}
+
+} // namespace hornbeam
--- a/src/platform/platformapi.h
+++ b/src/store/platformapi.h
@@ -21,6 +21,7 @@
     Unavailable, // the platform did not answer or refused the call; nothing was written
     Malformed,   // the platform rejects the call, or its answer can't be read; nothing was written
     Unknown,     // a write's answer was lost; it may have taken effect
+    HistoryGone, // the store no longer knows the changes since the revision that a watch begins at
 };
 
 std::string_view nameOf(PlatformOutcome outcome);
@@ -108,5 +109,9 @@
 }
 constexpr std::string_view tablePrefix = "tables/";
 constexpr std::string_view statusPrefix = "status/";
+constexpr std::string_view instancePrefix = "instances/";
+
+/** Reads the objects of a reply as instances; leaves out those that are malformed. Thread safe. */
+void readInstances(PlatformReply &reply);
 
 } // namespace hornbeam
--- a/src/platform/statusreporter.cpp
+++ b/src/store/statusreporter.cpp
@@ -1,4 +1,4 @@
-#include "platform/statusreporter.h"
+#include "store/statusreporter.h"
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
--- a/src/platform/statusreporter.h
+++ b/src/store/statusreporter.h
@@ -2,7 +2,7 @@
 
 // Writes one zone's status object: which table versions are in force at how many of its members.
 
-#include "platform/platformapi.h"
+#include "store/platformapi.h"
 
 #include <optional>
 
--- a/src/transport/metricsserver.cpp
+++ b/src/transport/metricsserver.cpp
@@ -18,7 +18,12 @@
 constexpr std::chrono::seconds requestTimeout(5);
 constexpr uint64_t requestLimitBytes = 4096;
 
-using Pages = std::map<std::string, PageMaker>;
+struct Page
+{
+    PageMaker text;
+    Condition condition; // empty for pages that are always there
+};
+using Pages = std::map<std::string, Page>;
 
 /** One request and its answer; the connection is closed after it. */
 class PageSession : public std::enable_shared_from_this<PageSession>
@@ -49,9 +54,11 @@
         } else if (page == this->pages->end()) {
             this->response.result(http::status::not_found);
             this->response.body() = "no such page\n";
+        } else if (page->second.condition) {
+            this->response.result(page->second.condition() ? http::status::ok : http::status::service_unavailable);
         } else {
             this->response.set(http::field::content_type, "text/plain; version=0.0.4");
-            this->response.body() = page->second();
+            this->response.body() = page->second.text();
         }
         this->response.keep_alive(false);
         this->response.prepare_payload();
@@ -133,7 +140,12 @@
 
 void MetricsServer::addPage(const std::string &path, PageMaker maker)
 {
-    (*this->impl->pages)[path] = std::move(maker);
+    (*this->impl->pages)[path].text = std::move(maker);
+}
+
+void MetricsServer::addCheck(const std::string &path, Condition condition)
+{
+    (*this->impl->pages)[path].condition = std::move(condition);
 }
 
 void MetricsServer::beginAccept()
--- a/src/transport/metricsserver.h
+++ b/src/transport/metricsserver.h
@@ -16,6 +16,8 @@
 
 /** Makes the text of a page. Called on a worker; must be thread safe. */
 using PageMaker = std::function<std::string()>;
+/** Tells whether a condition holds. Called on a worker; must be thread safe. */
+using Condition = std::function<bool()>;
 
 class MetricsServer
 {
@@ -30,6 +32,8 @@
     const std::string &error() const;
     /** Adds a page, e.g. "/metrics". Precondition: called before beginAccept. */
     void addPage(const std::string &path, PageMaker maker);
+    /** Adds a page without text: status 200 while the condition holds, 503 otherwise. Precondition: called before beginAccept. */
+    void addCheck(const std::string &path, Condition condition);
     /** Starts to answer. Precondition: error() is empty; called once. */
     void beginAccept();
     /** Stops to accept. Thread safe. */
--- a/standins/platformservice.h
+++ b/standins/platformservice.h
@@ -59,8 +59,8 @@
 
 private:
     HttpResponse handleObject(const HttpRequest &request, const std::string &key, bool &isWritten);
-    HttpResponse handleList(const HttpTarget &target) const;
-    HttpResponse handleInstances(std::chrono::steady_clock::time_point now);
+    HttpResponse handleList(const std::string &kind) const;
+    void showInstances(std::chrono::steady_clock::time_point now);
     HttpResponse handleInstance(const HttpRequest &request, const std::string &name, std::chrono::steady_clock::time_point now);
     HttpResponse handleFaults(const HttpRequest &request);
     HttpResponse handleCalls() const;
@@ -76,8 +76,7 @@
     PlatformStore store;
     PlatformFaults faults;
     const std::chrono::milliseconds instanceLag;
-    std::deque<InstanceChange> pending; // changes that the list does not show yet
-    std::map<std::string, StoredInstance> shown;
+    std::deque<InstanceChange> pending;    // changes that the list does not show yet
     std::map<std::string, uint64_t> calls; // by kind
 };
 
--- a/tests/ctl_test.cpp
+++ b/tests/ctl_test.cpp
@@ -1,6 +1,6 @@
 #include "childprocess.h"
 #include "platform/blockingplatform.h"
-#include "platform/statusreporter.h"
+#include "store/statusreporter.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
--- a/tests/system.h
+++ b/tests/system.h
@@ -5,7 +5,7 @@
 #include "childprocess.h"
 #include "core/clock.h"
 #include "core/types.h"
-#include "platform/httpget.h"
+#include "store/httpget.h"
 
 #include <arpa/inet.h>
 #include <cstdio>
