--- a/src/apps/flowdaemon.cpp
+++ b/src/apps/flowdaemon.cpp
@@ -27,9 +27,10 @@
 constexpr milliseconds tickInterval(20);
 constexpr milliseconds storeTickInterval(20);
 constexpr seconds settingsPollInterval(1);
-constexpr milliseconds stopLinger(1800); // routers notice within 2 probes of 500 ms each that no packets may come
-constexpr milliseconds pauseBound(500);  // a later tick means that this process stood still
-constexpr seconds storeCallTimeout(2);   // 4 ms is usual, 0.4 s when the store is slow
+constexpr milliseconds stopLinger(1800);    // routers notice within 2 probes of 500 ms each that no packets may come
+constexpr milliseconds startPatience(1000); // packets wait this long for the first answers of the store; callers give up after 0.8 s or more
+constexpr milliseconds pauseBound(500);     // a later tick means that this process stood still
+constexpr seconds storeCallTimeout(2);      // 4 ms is usual, 0.4 s when the store is slow
 constexpr const char *readinessPath = "/ready";
 
 WatcherSettings watcherSettings()
@@ -131,7 +132,6 @@
         if (!isGood) {
             return false;
         }
-        this->packets.beginReceive([this](const Endpoint &, const uint8_t *data, size_t size) { this->onPacket(data, size); });
         this->readiness.addCheck(readinessPath, [this] { return this->isReady(); });
         this->readiness.beginAccept();
         this->metrics.addPage("/metrics", [this] { return this->metricsText(); });
@@ -153,6 +153,17 @@
 
     //--- Packets
 
+    // callers repeat a lost packet after 200 ms or more: those that arrive while the store is first read wait in the socket
+    void beginPackets()
+    {
+        const bool isDue = this->forwarder.isReady() || this->clock.now() - this->startedAt >= startPatience;
+        if (this->isReceiving || !isDue) {
+            return;
+        }
+        this->isReceiving = true;
+        this->packets.beginReceive([this](const Endpoint &, const uint8_t *data, size_t size) { this->onPacket(data, size); });
+    }
+
     void onPacket(const uint8_t *data, size_t size)
     {
         const std::optional<FlowPacket> packet = readPacket(data, size);
@@ -231,6 +242,7 @@
             this->forwarder.onTargetChanges(records, removed, read.asked, actions);
         }
         this->perform(actions);
+        this->beginPackets();
         this->targets.setHurry(this->forwarder.targetDirectory().hasMissing());
     }
 
@@ -243,6 +255,7 @@
             }
         }
         this->forwarder.onConfigurationConfirmed(read.asked);
+        this->beginPackets();
     }
 
     void onConfiguration(const PlatformObject &object)
@@ -296,6 +309,7 @@
         this->perform(actions);
         this->targets.tick(true);
         this->configurations.tick(true);
+        this->beginPackets();
         if (now >= this->nextSettingsPoll) {
             this->nextSettingsPoll = now + settingsPollInterval;
             this->pollSettings();
@@ -349,7 +363,7 @@
 
     std::string metricsText() const
     {
-        return this->forwarder.flowCounters().text() + this->storeCounters.text();
+        return this->forwarder.flowCounters().text() + this->forwarder.answerTimes().text("hornbeam_flow_answer_seconds") + this->storeCounters.text();
     }
 
     //--- Stop
@@ -394,6 +408,8 @@
     boost::asio::steady_timer tickTimer;
     boost::asio::steady_timer stopTimer;
     Bytes datagram; // the one being sent
+    const TimePoint startedAt = this->clock.now();
+    bool isReceiving = false;
     bool isStopping = false;
     bool targetsLost = false;
     bool configurationLost = false;
--- a/src/apps/tunables.cpp
+++ b/src/apps/tunables.cpp
@@ -101,11 +101,17 @@
     flowTunable<&FlowSettings::tokenLifetime>("token_lifetime_ms", 1000, hourMs),
     flowTunable<&FlowSettings::freshness>("freshness_ms", 100, minuteMs),
     flowTunable<&FlowSettings::openingPatience>("opening_patience_ms", 5, 1000),
+    flowTunable<&FlowSettings::answerPatience>("answer_patience_ms", 5, 60'000),
+    flowTunable<&FlowSettings::lateFactor>("late_factor", 1, 100),
+    flowTunable<&FlowSettings::sweepChecks>("sweep_checks", 0, 10'000),
     flowTunable<&FlowSettings::checkInterval>("check_interval_ms", 10, minuteMs),
     flowTunable<&FlowSettings::checkTimeout>("check_timeout_ms", 10, 5000),
     flowTunable<&FlowSettings::checksToFail>("checks_to_fail", 1, 10),
     flowTunable<&FlowSettings::silentCheck>("silent_check_ms", 10, minuteMs),
     flowTunable<&FlowSettings::silentCheckMax>("silent_check_max_ms", 10, minuteMs),
+    flowTunable<&FlowSettings::ownZonePercent>("own_zone_percent", 100, 1'000'000),
+    flowTunable<&FlowSettings::slownessCap>("slowness_cap", 1, 100),
+    flowTunable<&FlowSettings::answersToJudge>("answers_to_judge", 1, 1000),
     flowTunable<&FlowSettings::maxFlows>("max_flows", 1, 1U << 24U),
 };
 
--- a/src/flows/flowforwarder.cpp
+++ b/src/flows/flowforwarder.cpp
@@ -111,16 +111,19 @@
         return this->refuse(packet, ResetReason::TargetDeparted, &state);
     }
     const FlowEvidence evidence = this->tracker.observe(state, packet, now);
-    if (evidence == FlowEvidence::Progress) {
+    if (evidence.isProgress) {
         this->health.addProgress(*target, now);
     }
+    if (evidence.answered > Duration{ 0 }) {
+        this->answers.add(packet.flow.service, *target, evidence.answered);
+    }
     if (packet.isReset || packet.isClosing) {
         return this->forwardTo(target, packet.token);
     }
     if (target->isSilent()) {
         return this->refuse(packet, ResetReason::TargetSilent, &state);
     }
-    if (evidence == FlowEvidence::Repeat && this->health.addEvidence(*target, state.unansweredSince, now)) {
+    if (evidence.isRepeat && this->health.addEvidence(*target, state.unansweredSince, now)) {
         this->beginCheck(target, out);
     }
     return this->forwardTo(target, packet.token);
@@ -217,11 +220,26 @@
     }
     if (hasFallenSilent) {
         this->resetFlows(target, ResetReason::TargetSilent, out);
+        this->checkOthers(out);
     } else if (outcome != CheckOutcome::Connected && !target->isSilent() && target->lastProgress <= target->checkedAt) {
         this->beginCheck(target, out);
     }
 }
 
+// a host, a rack or a link rarely fails with one target only, and idle flows show nothing until their next request
+void FlowForwarder::checkOthers(FlowActions &out)
+{
+    const TimePoint now = this->clock.now();
+    uint32_t left = this->settings.sweepChecks;
+    for (const TargetPtr &target : this->directory.all()) {
+        const bool isWorth = target->phase != TargetPhase::Departed && target->openFlows > 0 && this->health.addEvidence(*target, now, now);
+        if (isWorth && left > 0) {
+            --left;
+            this->beginCheck(target, out);
+        }
+    }
+}
+
 void FlowForwarder::resetFlows(const TargetPtr &target, ResetReason reason, FlowActions &out)
 {
     for (FlowState *state : this->tracker.flowsOf(target)) {
@@ -246,6 +264,14 @@
             this->beginCheck(state->target, out);
         }
     }
+    const auto patience = [this](const FlowKey &flow) {
+        return std::max(this->settings.answerPatience, this->settings.lateFactor * this->answers.meanOf(flow.service));
+    };
+    for (FlowState *state : this->tracker.takeOverdue(now, patience)) {
+        if (this->health.addEvidence(*state->target, state->unansweredSince, now)) {
+            this->beginCheck(state->target, out);
+        }
+    }
     for (const TargetPtr &target : this->directory.all()) {
         if (target->phase != TargetPhase::Departed && this->health.isDue(*target, now)) {
             this->beginCheck(target, out);
@@ -291,6 +317,11 @@
     return this->counters;
 }
 
+const Histogram &FlowForwarder::answerTimes() const
+{
+    return this->answers.histogram();
+}
+
 size_t FlowForwarder::flowCount() const
 {
     return this->tracker.size();
--- a/src/flows/flowforwarder.h
+++ b/src/flows/flowforwarder.h
@@ -5,6 +5,7 @@
 // Sections: results | forwarder
 
 #include "core/clock.h"
+#include "flows/answertimes.h"
 #include "flows/flowcounters.h"
 #include "flows/flowpacket.h"
 #include "flows/flowsettings.h"
@@ -82,6 +83,8 @@
     const TargetDirectory &targetDirectory() const;
     const FlowCounters &flowCounters() const;
     FlowCounters &flowCounters();
+    /** Times from a request to the first acknowledgement of its answer. */
+    const Histogram &answerTimes() const;
     size_t flowCount() const;
 
 private:
@@ -93,6 +96,7 @@
     PacketDecision drop(const FlowPacket &packet, DropReason reason);
     PacketDecision refuse(const FlowPacket &packet, ResetReason reason, FlowState *state);
     void resetFlows(const TargetPtr &target, ResetReason reason, FlowActions &out);
+    void checkOthers(FlowActions &out);
     void beginCheck(const TargetPtr &target, FlowActions &out);
     void report(const std::vector<TargetChange> &changes, FlowActions &out);
     bool isConfigurationFresh() const;
@@ -107,6 +111,7 @@
     FlowTracker tracker;
     PassiveHealth health;
     TargetChooser chooser;
+    AnswerTimes answers;
     TimePoint configurationConfirmed;
     TimePoint nextExpiry;
 };
--- a/src/flows/flowsettings.h
+++ b/src/flows/flowsettings.h
@@ -11,19 +11,32 @@
 
 struct FlowSettings
 {
-    Duration absence = milliseconds(2200); // a target that the store has not listed for this long is gone: entries that lapse in an outage return within 2 s
-    Duration tokenLifetime = seconds(65);  // how long a departed target's token is known; flows live 60 s at most
-    Duration freshness = seconds(5);       // a belief confirmed within this time may refuse a caller
-    Duration openingPatience =
-        milliseconds(60); // an opening packet that the caller has not followed up in this time is evidence against its target; 5 round trips of 12 ms
-    Duration checkInterval = milliseconds(300); // between two connection checks of a target that passed
-    Duration checkTimeout = milliseconds(120);  // of one connection check; 40 round trips of 3 ms between zones
+    // beliefs
+    Duration absence = milliseconds(2200); // unlisted this long, a target is gone: entries that lapse in an outage of the store return within 2 s
+    Duration tokenLifetime = seconds(65);  // of a departed target; flows live 60 s at most
+    Duration freshness = seconds(5);       // a belief that was confirmed within this time may refuse a caller
+
+    // evidence against a target
+    Duration openingPatience = milliseconds(60); // until a caller follows up its opening packet; 5 round trips of 12 ms
+    Duration answerPatience = milliseconds(60);  // until a request is answered, at least
+    uint32_t lateFactor = 2;                     // times the mean answer time of the route, until a request is answered
+
+    // connection checks
+    Duration checkTimeout = milliseconds(50);   // of one check; 15 round trips of 3 ms between zones
+    Duration checkInterval = milliseconds(300); // between two checks of a target that passes them
     uint32_t checksToFail = 2;                  // timed-out checks in a row that make a target silent
+    uint32_t sweepChecks = 64;                  // other targets checked when one falls silent: faults of hosts and links come in groups
     Duration silentCheck = milliseconds(500);   // before a silent target is checked again; doubles
     Duration silentCheckMax = seconds(4);       // longest such wait
-    Duration closedFlowKept = seconds(2);       // repeats of the last packets of a flow still belong to it
-    size_t maxFlows = 32768;                    // flows remembered; about 200 bytes each. A flow that is forgotten is still forwarded
-    double spillRatio = 1.5;                    // own-zone targets are left for others when they hold this many times their open flows a slot
+
+    // choice
+    uint32_t ownZonePercent = 300; // how much busier than others a target of the own zone may be before another zone's is taken
+    uint32_t slownessCap = 8;      // a target counts as at most this many times slower than its routes' mean
+    uint32_t answersToJudge = 4;   // answers of a target before its speed counts
+
+    // memory
+    Duration closedFlowKept = seconds(2); // repeats of the last packets of a flow still belong to it
+    size_t maxFlows = 32768;              // flows remembered, about 250 bytes each; one that is forgotten is still forwarded
 };
 
 } // namespace hornbeam
--- a/src/flows/flowtracker.cpp
+++ b/src/flows/flowtracker.cpp
@@ -79,23 +79,27 @@
 {
     this->order.splice(this->order.end(), this->order, this->flows.at(state.flow));
     state.lastSeen = now;
-    FlowEvidence evidence = FlowEvidence::None;
+    FlowEvidence evidence;
     if (!state.isOpen || isAfter(packet.acknowledged, state.acknowledged)) {
+        if (state.unansweredSince != TimePoint{} && state.repeats == 0) {
+            evidence.answered = now - state.unansweredSince;
+        }
         state.isOpen = true;
         state.acknowledged = packet.acknowledged;
         state.unansweredSince = TimePoint{};
         state.repeats = 0;
-        evidence = FlowEvidence::Progress;
+        evidence.isProgress = true;
     }
     const uint32_t end = packet.sequence + packet.contentBytes;
     if (packet.contentBytes > 0 && (state.contentEnd == 0 || isAfter(end, state.contentEnd))) {
         state.contentEnd = end;
         if (state.unansweredSince == TimePoint{}) {
             state.unansweredSince = now;
+            this->requests.push_back({ state.flow, now });
         }
-    } else if (packet.contentBytes > 0 && evidence == FlowEvidence::None) {
+    } else if (packet.contentBytes > 0 && !evidence.isProgress) {
         ++state.repeats;
-        evidence = FlowEvidence::Repeat;
+        evidence.isRepeat = true;
     }
     if (packet.isClosing && !state.isClosing) {
         const bool wasOpen = countsAsOpen(state);
@@ -141,6 +145,23 @@
     return unanswered;
 }
 
+std::vector<FlowState *> FlowTracker::takeOverdue(TimePoint now, const std::function<Duration(const FlowKey &)> &patience)
+{
+    std::vector<FlowState *> overdue;
+    std::erase_if(this->requests, [&](const Awaited &request) {
+        FlowState *state = this->find(request.flow);
+        if (state == nullptr || state->unansweredSince != request.at || state->isReset || state->target == nullptr) {
+            return true; // answered or ended
+        }
+        if (now - request.at < patience(request.flow)) {
+            return false;
+        }
+        overdue.push_back(state);
+        return true;
+    });
+    return overdue;
+}
+
 std::vector<FlowState *> FlowTracker::flowsOf(const TargetPtr &target)
 {
     std::vector<FlowState *> found;
--- a/src/flows/flowtracker.h
+++ b/src/flows/flowtracker.h
@@ -8,6 +8,8 @@
 #include "flows/routetable.h"
 #include "flows/targetdirectory.h"
 
+#include <deque>
+#include <functional>
 #include <list>
 #include <unordered_map>
 #include <vector>
@@ -33,10 +35,11 @@
 };
 
 /** What a packet showed of its flow's target. */
-enum class FlowEvidence : uint8_t {
-    None,
-    Progress, // the target answered
-    Repeat,   // content was sent again without an answer in between
+struct FlowEvidence
+{
+    bool isProgress = false; // the target answered
+    bool isRepeat = false;   // content was sent again without an answer in between
+    Duration answered{ 0 };  // how long a request that was sent once took to be answered; 0 when no such answer came
 };
 
 /** Not thread safe: one event loop owns it. Keeps Target::openFlows. */
@@ -63,6 +66,8 @@
     void remove(const FlowKey &flow);
     /** Opening packets sent to targets before `before` that no packet of their callers has followed; each is told once. */
     std::vector<FlowState *> takeUnanswered(TimePoint before);
+    /** Requests that are not answered after the time that `patience` allows for their flows; each is told once, however late it gets. */
+    std::vector<FlowState *> takeOverdue(TimePoint now, const std::function<Duration(const FlowKey &)> &patience);
     /** All flows of a target. Valid until the next call that is not const. */
     std::vector<FlowState *> flowsOf(const TargetPtr &target);
     size_t size() const;
@@ -72,17 +77,18 @@
 
     void drop(Order::iterator position);
 
-    struct Opening
+    struct Awaited
     {
         FlowKey flow;
-        TimePoint at;
+        TimePoint at; // when its opening packet or its request was sent
     };
 
     const FlowSettings &settings;
     uint64_t &forgotten;
     Order order;
     std::unordered_map<FlowKey, Order::iterator> flows;
-    std::list<Opening> openings; // oldest first
+    std::deque<Awaited> openings; // oldest first
+    std::deque<Awaited> requests; // oldest first; those of patient routes stay among later ones
 };
 
 } // namespace hornbeam
--- a/src/flows/targetchooser.cpp
+++ b/src/flows/targetchooser.cpp
@@ -1,5 +1,7 @@
 #include "flows/targetchooser.h"
 
+#include <algorithm>
+
 namespace hornbeam {
 
 namespace {
@@ -15,11 +17,9 @@
 TargetPtr TargetChooser::choose(const std::vector<TargetPtr> &targets, const TargetPtr &excluded, TimePoint now)
 {
     for (const TargetPhase phase : { TargetPhase::Ready, TargetPhase::Missing }) {
-        for (const bool inOwnZone : { true, false }) {
-            TargetPtr best = this->leastLoaded(targets, excluded, phase, inOwnZone, now);
-            if (best != nullptr) {
-                return best;
-            }
+        TargetPtr best = this->leastLoaded(targets, excluded, phase, now);
+        if (best != nullptr) {
+            return best;
         }
     }
     return nullptr;
@@ -27,19 +27,20 @@
 
 double TargetChooser::loadOf(const Target &target, TimePoint now) const
 {
+    constexpr double percent = 100;
     const double speed = now < target.warmUntil ? warmingSpeed : 1.0;
-    return (target.openFlows + 1) / (target.record.slots * speed);
+    const double slowness = target.answers < this->settings.answersToJudge ? 1.0 : std::clamp<double>(target.slowness, 1.0, this->settings.slownessCap);
+    const double distance = target.record.zone == this->ownZone ? 1.0 : this->settings.ownZonePercent / percent;
+    return (target.openFlows + 1) * slowness * distance / (target.record.slots * speed);
 }
 
-TargetPtr TargetChooser::leastLoaded(const std::vector<TargetPtr> &targets, const TargetPtr &excluded, TargetPhase phase, bool inOwnZone, TimePoint now)
+TargetPtr TargetChooser::leastLoaded(const std::vector<TargetPtr> &targets, const TargetPtr &excluded, TargetPhase phase, TimePoint now)
 {
     TargetPtr best;
     double bestLoad = 0;
     uint32_t ties = 0;
     for (const TargetPtr &target : targets) {
-        const bool isCandidate =
-            target->phase == phase && !target->isSilent() && !target->isShadowed && target != excluded && (target->record.zone == this->ownZone) == inOwnZone;
-        if (!isCandidate) {
+        if (target->phase != phase || target->isSilent() || target->isShadowed || target == excluded) {
             continue;
         }
         const double load = this->loadOf(*target, now);
--- a/src/flows/targetchooser.h
+++ b/src/flows/targetchooser.h
@@ -18,14 +18,14 @@
     TargetChooser(const FlowSettings &settings, ZoneId ownZone, uint64_t seed);
 
     /**
-     * The target with the fewest open flows a slot, of the own availability zone unless that is much busier than others. Targets that the store has
-     * just ceased to list are a last resort. Null when no target can take a flow.
+     * The target with the fewest open flows a slot, weighted by its speed, of the own availability zone unless that is much busier than others. Targets
+     * that the store has just ceased to list are a last resort. Null when no target can take a flow.
      */
     TargetPtr choose(const std::vector<TargetPtr> &targets, const TargetPtr &excluded, TimePoint now);
 
 private:
     double loadOf(const Target &target, TimePoint now) const;
-    TargetPtr leastLoaded(const std::vector<TargetPtr> &targets, const TargetPtr &excluded, TargetPhase phase, bool inOwnZone, TimePoint now);
+    TargetPtr leastLoaded(const std::vector<TargetPtr> &targets, const TargetPtr &excluded, TargetPhase phase, TimePoint now);
 
     const FlowSettings &settings;
     const ZoneId ownZone;
--- a/src/flows/targetdirectory.h
+++ b/src/flows/targetdirectory.h
@@ -57,6 +57,10 @@
 
     uint32_t openFlows = 0; // through this instance, kept by FlowTracker
 
+    // kept by AnswerTimes
+    double slowness = 1;  // its answer times over those of its routes, a moving mean
+    uint32_t answers = 0; // that were timed
+
     // kept by PassiveHealth
     TimePoint lastProgress;    // when a flow last showed that the target answers
     TimePoint silentSince;     // TimePoint{} unless the target is silent
--- a/src/membership/membership.h
+++ b/src/membership/membership.h
@@ -33,22 +33,22 @@
 
 struct MembershipSettings
 {
-    Duration probeInterval = milliseconds(300);   // ms, 100 to 5000: one member is probed in each
+    Duration probeInterval = milliseconds(300); // ms, 100 to 5000: one member is probed in each
     Duration probeTimeout = milliseconds(200);  // ms, under probeInterval: then others are asked to probe
     size_t indirectProbes = 3;                  // members, 1 to 10
     Duration suspicion =
         milliseconds(1000); // ms, 500 to 30000: time to refute; with 2 probe intervals and a digest interval it bounds the silence of feeds after a kill
     Duration digestInterval = milliseconds(1000); // ms, 200 to 10000: one zone is told in each
-    Duration zoneSilence = milliseconds(5000);   // ms, above 3 digest intervals: then a zone is unreachable
-    Duration goneKept = seconds(300);            // s, 10 to 3600: how long dead and departed members are remembered
-    Duration missingKept = seconds(10);          // s, 2 to 300: how long a member stays that its own zone doesn't list
-    Duration pauseBound = milliseconds(250);     // ms, above 2 ticks: a later tick means that this process stood still
-    size_t updatesPerMessage = 16;               // records, 4 to 24: keeps a datagram under 1200 bytes
-    size_t listRecordsPerDatagram = 28;          // records, up to 28: longer lists go over a stream
-    size_t listsPerSecond = 2;                   // lists, 1 to 10: how many are sent
-    size_t seedsContacted = 3;                   // seeds, 1 to 10: contacted per digest interval until they answer
-    size_t leaveNotices = 8;                     // members, 1 to 20: told at once when this one leaves
-    size_t seedsKept = 1024;                     // seeds that have not answered yet
+    Duration zoneSilence = milliseconds(5000);    // ms, above 3 digest intervals: then a zone is unreachable
+    Duration goneKept = seconds(300);             // s, 10 to 3600: how long dead and departed members are remembered
+    Duration missingKept = seconds(10);           // s, 2 to 300: how long a member stays that its own zone doesn't list
+    Duration pauseBound = milliseconds(250);      // ms, above 2 ticks: a later tick means that this process stood still
+    size_t updatesPerMessage = 16;                // records, 4 to 24: keeps a datagram under 1200 bytes
+    size_t listRecordsPerDatagram = 28;           // records, up to 28: longer lists go over a stream
+    size_t listsPerSecond = 2;                    // lists, 1 to 10: how many are sent
+    size_t seedsContacted = 3;                    // seeds, 1 to 10: contacted per digest interval until they answer
+    size_t leaveNotices = 8;                      // members, 1 to 20: told at once when this one leaves
+    size_t seedsKept = 1024;                      // seeds that have not answered yet
 };
 
 //--- Membership
