Passive health: a timed-out check is followed by its second at once

Cause: endCheck cleared the time of the check before the forwarder compared it, so that the second check waited for new evidence. Found by the story 'two checks in a row time out', which failed first. Stories of the forwarder and of load, on a paused clock, without a network. Store calls that follow a change are grouped within 250 ms instead of 100.

--- a/src/apps/flowdaemon.cpp
+++ b/src/apps/flowdaemon.cpp
@@ -37,8 +37,8 @@
 {
     WatcherSettings settings;
     settings.watchTimeout = seconds(3);        // a connection that went silent is noticed within this and the call's timeout
-    settings.shortTimeout = milliseconds(500); // while a target is missing
-    settings.pause = milliseconds(100);        // changes of a release come in groups
+    settings.shortTimeout = milliseconds(700); // while a target is missing
+    settings.pause = milliseconds(250);        // changes of a release come in groups
     settings.firstBackoff = milliseconds(200);
     settings.maxBackoff = seconds(1);
     return settings;
--- a/src/flows/flowforwarder.cpp
+++ b/src/flows/flowforwarder.cpp
@@ -114,7 +114,7 @@
     if (evidence.isProgress) {
         this->health.addProgress(*target, now);
     }
-    if (evidence.answered > Duration{ 0 }) {
+    if (route != nullptr && evidence.answered > Duration{ 0 }) {
         this->answers.add(packet.flow.service, *target, evidence.answered);
     }
     if (packet.isReset || packet.isClosing) {
@@ -214,14 +214,14 @@
 {
     const TimePoint now = this->clock.now();
     const bool wasSilent = target->isSilent();
-    const bool hasFallenSilent = this->health.endCheck(*target, outcome, now);
+    const HealthVerdict verdict = this->health.endCheck(*target, outcome, now);
     if (wasSilent != target->isSilent()) {
         this->observer.onTargetHealth(*target, outcome);
     }
-    if (hasFallenSilent) {
+    if (verdict == HealthVerdict::Silent) {
         this->resetFlows(target, ResetReason::TargetSilent, out);
         this->checkOthers(out);
-    } else if (outcome != CheckOutcome::Connected && !target->isSilent() && target->lastProgress <= target->checkedAt) {
+    } else if (verdict == HealthVerdict::CheckAgain) {
         this->beginCheck(target, out);
     }
 }
--- a/src/flows/passivehealth.cpp
+++ b/src/flows/passivehealth.cpp
@@ -39,7 +39,7 @@
     this->counters.add(FlowCounter::ChecksBegun);
 }
 
-bool PassiveHealth::endCheck(Target &target, CheckOutcome outcome, TimePoint now)
+HealthVerdict PassiveHealth::endCheck(Target &target, CheckOutcome outcome, TimePoint now)
 {
     target.isChecking = false;
     if (outcome == CheckOutcome::Connected) {
@@ -47,26 +47,27 @@
         target.failedChecks = 0;
         target.silentSince = TimePoint{};
         target.checkWait = Duration{ 0 };
-        return false;
+        return HealthVerdict::Unchanged;
     }
     this->counters.add(FlowCounter::ChecksFailed);
     ++target.failedChecks;
     if (target.isSilent()) {
         target.checkWait = std::min(this->settings.silentCheckMax, target.checkWait * 2);
         target.nextCheck = now + target.checkWait;
-        return false;
+        return HealthVerdict::Unchanged;
     }
-    const bool isAnswering = target.lastProgress > target.checkedAt;
-    const bool isProof = outcome == CheckOutcome::Refused || target.failedChecks >= this->settings.checksToFail;
-    if (isAnswering || !isProof) {
-        target.checkedAt = isAnswering ? now : TimePoint{}; // the next check may begin at once unless the target answers
-        return false;
+    if (target.lastProgress > target.checkedAt) {
+        target.failedChecks = 0; // it answered a flow during the check
+        return HealthVerdict::Unchanged;
+    }
+    if (outcome != CheckOutcome::Refused && target.failedChecks < this->settings.checksToFail) {
+        return HealthVerdict::CheckAgain;
     }
     target.silentSince = now;
     target.checkWait = this->settings.silentCheck;
     target.nextCheck = now + target.checkWait;
     this->counters.add(FlowCounter::TargetsSilenced);
-    return true;
+    return HealthVerdict::Silent;
 }
 
 } // namespace hornbeam
--- a/src/flows/passivehealth.h
+++ b/src/flows/passivehealth.h
@@ -20,6 +20,13 @@
 
 std::string_view nameOf(CheckOutcome outcome);
 
+/** What a check's outcome means for its target. */
+enum class HealthVerdict : uint8_t {
+    Unchanged,
+    CheckAgain, // one check that timed out is no proof
+    Silent,     // the target has just become silent
+};
+
 /** Not thread safe: one event loop owns it. */
 class PassiveHealth
 {
@@ -34,8 +41,8 @@
     bool isDue(const Target &target, TimePoint now) const;
     /** A check has begun. */
     void beginCheck(Target &target, TimePoint now);
-    /** What the check gave. Returns whether the target has just become silent. */
-    bool endCheck(Target &target, CheckOutcome outcome, TimePoint now);
+    /** Takes what the check gave. */
+    HealthVerdict endCheck(Target &target, CheckOutcome outcome, TimePoint now);
 
 private:
     const FlowSettings &settings;
--- /dev/null
+++ b/tests/flowfakes.h
@@ -0,0 +1,161 @@
+#pragma once
+
+// What the stories of the flow forwarding share: a forwarder on a paused clock, packets of a caller, targets and routes.
+
+#include "flows/flowforwarder.h"
+
+#include <string>
+#include <vector>
+
+namespace hornbeam {
+inline namespace flow_fakes {
+
+/** Remembers what the forwarder told, for CHECKs. */
+class FakeFlowObserver final : public FlowObserver
+{
+public:
+    std::vector<ResetReason> resets;
+    std::vector<DropReason> drops;
+    std::vector<std::string> silent; // targets, in the order in which they fell silent
+
+    void onPlaced(const FlowState & /*state*/, const Route & /*route*/, uint64_t /*version*/, size_t /*candidates*/) override
+    {
+    }
+    void onReset(const FlowReset & /*reset*/, ResetReason reason, const FlowState * /*state*/) override
+    {
+        this->resets.push_back(reason);
+    }
+    void onDropped(const FlowPacket & /*packet*/, DropReason reason) override
+    {
+        this->drops.push_back(reason);
+    }
+    void onTargetChange(const TargetChange & /*change*/) override
+    {
+    }
+    void onTargetHealth(const Target &target, CheckOutcome /*outcome*/) override
+    {
+        if (target.isSilent()) {
+            this->silent.push_back(target.record.name);
+        }
+    }
+};
+
+inline const ZoneId hereZone = zoneIdOf("here");
+inline const ZoneId thereZone = zoneIdOf("there");
+inline const Endpoint feedAddress{ 0xC6120001, 443 };
+inline const Endpoint orderAddress{ 0xC6120002, 443 };
+
+inline TargetRecord makeTarget(const std::string &name, ZoneId zone = hereZone, const std::string &service = "booking", uint64_t incarnation = 1)
+{
+    TargetRecord record;
+    record.name = name;
+    record.service = service;
+    record.zone = zone;
+    record.incarnation = incarnation;
+    record.address = { 0x0A010000U + static_cast<uint32_t>(hashName(name) & 0xFFFFU), 8080 };
+    record.slots = 2;
+    return record;
+}
+
+inline RouteConfiguration makeConfiguration(uint64_t version)
+{
+    RouteConfiguration configuration;
+    configuration.version = version;
+    configuration.idleTimeout = seconds(15);
+    configuration.routes.push_back({ "feed", feedAddress, RequestKind::Idempotent, milliseconds(120), milliseconds(800), { { "booking", 1 } } });
+    configuration.routes.push_back({ "order", orderAddress, RequestKind::NonIdempotent, milliseconds(150), milliseconds(1000), { { "booking", 1 } } });
+    return configuration;
+}
+
+/** One instance with its clock. */
+struct FlowBench
+{
+    explicit FlowBench(FlowSettings settings = {}) : forwarder(settings, hereZone, 1, clock, observer)
+    {
+    }
+
+    /** Reads a configuration and targets. */
+    void load(const std::vector<TargetRecord> &targets, uint64_t version = 1)
+    {
+        this->forwarder.onConfiguration(makeConfiguration(version), this->actions);
+        this->forwarder.onConfigurationConfirmed(this->clock.now());
+        this->list(targets);
+    }
+    void list(const std::vector<TargetRecord> &targets)
+    {
+        this->forwarder.onTargets(targets, this->clock.now(), this->actions);
+    }
+    /** Lets time pass with ticks of 20 ms; collects what the forwarder asks for. */
+    void run(Duration time)
+    {
+        for (Duration passed{ 0 }; passed < time; passed += milliseconds(20)) {
+            this->clock.advance(milliseconds(20));
+            this->forwarder.tick(this->actions);
+        }
+    }
+    static FlowKey flow(uint16_t port, const Endpoint &service = feedAddress)
+    {
+        return { { 0x64400007, port }, service };
+    }
+    PacketDecision open(uint16_t port, const Endpoint &service = feedAddress, uint32_t sequence = 1000)
+    {
+        FlowPacket packet;
+        packet.flow = flow(port, service);
+        packet.sequence = sequence;
+        packet.isOpening = true;
+        return this->forwarder.onPacket(packet, this->actions);
+    }
+    PacketDecision send(uint16_t port, RoutingToken token, uint32_t sequence, uint32_t acknowledged, uint16_t bytes, const Endpoint &service = feedAddress)
+    {
+        FlowPacket packet;
+        packet.flow = flow(port, service);
+        packet.token = token;
+        packet.sequence = sequence;
+        packet.acknowledged = acknowledged;
+        packet.contentBytes = bytes;
+        return this->forwarder.onPacket(packet, this->actions);
+    }
+    /** Opens a flow and has its target answer the opening packet. Returns the decision on the opening packet. */
+    PacketDecision establish(uint16_t port, const Endpoint &service = feedAddress)
+    {
+        const PacketDecision opened = this->open(port, service);
+        this->clock.advance(milliseconds(6));
+        this->send(port, opened.token, 1001, 5000, 0, service);
+        return opened;
+    }
+    /** One request that is answered after `took`. */
+    void exchange(uint16_t port, RoutingToken token, uint32_t number, Duration took, const Endpoint &service = feedAddress)
+    {
+        this->send(port, token, 1001 + number * 100, 5000 + number * 100, 100, service);
+        this->clock.advance(took);
+        this->send(port, token, 1101 + number * 100, 5100 + number * 100, 0, service);
+    }
+    /** Ends every check that was asked for, with the same outcome. Returns how many there were. */
+    size_t endChecks(CheckOutcome outcome, const std::string &except = "")
+    {
+        size_t count = 0;
+        while (!this->actions.checks.empty()) {
+            const TargetPtr target = this->actions.checks.front();
+            this->actions.checks.erase(this->actions.checks.begin());
+            this->forwarder.endCheck(target, target->record.name == except ? CheckOutcome::Connected : outcome, this->actions);
+            ++count;
+        }
+        return count;
+    }
+    uint64_t resets(ResetReason reason) const
+    {
+        return this->forwarder.flowCounters().value(reason);
+    }
+    uint64_t drops(DropReason reason) const
+    {
+        return this->forwarder.flowCounters().value(reason);
+    }
+
+    ManualClock clock;
+    FakeFlowObserver observer;
+    FlowForwarder forwarder;
+    FlowActions actions;
+};
+
+} // namespace flow_fakes
+} // namespace hornbeam
--- /dev/null
+++ b/tests/flowload_test.cpp
@@ -0,0 +1,256 @@
+// Stories of load: where new flows go, and what is concluded from late answers. Each names the pattern of overload or failure that it is about.
+
+#include "flowfakes.h"
+
+#include <catch2/catch.hpp>
+#include <map>
+
+using namespace hornbeam;
+
+namespace {
+
+std::map<std::string, int> placeFlows(FlowBench &bench, uint16_t first, uint16_t count)
+{
+    std::map<std::string, int> placed;
+    for (uint16_t port = first; port < first + count; ++port) {
+        const PacketDecision decision = bench.establish(port);
+        if (decision.kind == PacketDecision::Kind::Forward) {
+            ++placed[decision.target->record.name];
+        }
+    }
+    return placed;
+}
+
+}
+
+TEST_CASE("hot spot: new flows go where the fewest are open")
+{
+    FlowBench bench;
+    SECTION("targets of one size share evenly")
+    {
+        bench.load({ makeTarget("b1"), makeTarget("b2"), makeTarget("b3"), makeTarget("b4") });
+        for (const auto &[name, count] : placeFlows(bench, 1, 40)) {
+            CHECK(count == 10);
+        }
+    }
+    SECTION("a target with more slots gets more")
+    {
+        TargetRecord large = makeTarget("b1");
+        large.slots = 6;
+        bench.load({ large, makeTarget("b2") });
+        CHECK(placeFlows(bench, 1, 40)["b1"] == 30);
+    }
+    SECTION("cold start: a target that has just started gets fewer")
+    {
+        TargetRecord cold = makeTarget("b1");
+        cold.warmupLeft = seconds(2);
+        bench.load({ cold, makeTarget("b2") });
+        const auto placed = placeFlows(bench, 1, 40);
+        CHECK(placed.at("b1") < placed.at("b2"));
+        CHECK(placed.at("b1") > 8);
+    }
+    SECTION("thundering herd: instances with other seeds don't all begin with the same target")
+    {
+        std::map<std::string, int> first;
+        for (uint64_t seed = 1; seed <= 60; ++seed) {
+            TargetDirectory directory{ FlowSettings{} };
+            const FlowSettings settings;
+            TargetChooser chooser(settings, hereZone, seed * 977);
+            directory.updateAll({ makeTarget("b1"), makeTarget("b2"), makeTarget("b3") }, {}, {});
+            ++first[chooser.choose(directory.targetsOf("booking"), nullptr, {})->record.name];
+        }
+        CHECK(first.size() == 3);
+    }
+}
+
+TEST_CASE("zone overload: flows stay in the own zone until it is much busier than the others")
+{
+    FlowBench bench;
+    SECTION("with room in the own zone nothing leaves it")
+    {
+        bench.load({ makeTarget("b1"), makeTarget("b2"), makeTarget("b3", thereZone) });
+        const auto placed = placeFlows(bench, 1, 4);
+        CHECK(placed.count("b3") == 0);
+    }
+    SECTION("a zone whose targets left spills over instead of queueing at the last one")
+    {
+        bench.load({ makeTarget("b1"), makeTarget("b3", thereZone), makeTarget("b4", thereZone), makeTarget("b5", thereZone) });
+        const auto placed = placeFlows(bench, 1, 60);
+        CHECK(placed.at("b1") >= 28);
+        CHECK(placed.at("b1") <= 32);
+    }
+    SECTION("a zone without targets is served by the others")
+    {
+        bench.load({ makeTarget("b3", thereZone) });
+        CHECK(placeFlows(bench, 1, 5)["b3"] == 5);
+    }
+}
+
+TEST_CASE("slow target: answers that take longer than the route's mean turn new flows away")
+{
+    FlowBench bench;
+    bench.load({ makeTarget("b1"), makeTarget("b2"), makeTarget("b3") });
+    std::map<std::string, RoutingToken> tokens;
+    std::map<std::string, uint16_t> ports;
+    for (uint16_t port = 1; port <= 3; ++port) {
+        const PacketDecision opened = bench.establish(port);
+        tokens[opened.target->record.name] = opened.token;
+        ports[opened.target->record.name] = port;
+    }
+    REQUIRE(tokens.size() == 3);
+    for (uint32_t round = 0; round < 20; ++round) {
+        for (const auto &[name, token] : tokens) {
+            bench.exchange(ports[name], token, round, name == "b2" ? milliseconds(100) : milliseconds(20));
+        }
+    }
+    const auto placed = placeFlows(bench, 10, 30);
+    CHECK(placed.at("b1") > 2 * placed.at("b2"));
+    CHECK(placed.at("b3") > 2 * placed.at("b2"));
+}
+
+TEST_CASE("silent target: one late answer is followed by a connection check, and only the check condemns")
+{
+    FlowBench bench;
+    bench.load({ makeTarget("b1"), makeTarget("b2") });
+    const PacketDecision first = bench.establish(1);
+    const PacketDecision second = bench.establish(2);
+    REQUIRE(first.target != second.target);
+    for (uint32_t round = 0; round < 5; ++round) {
+        bench.exchange(1, first.token, round, milliseconds(20));
+    }
+    const std::string name = first.target->record.name;
+
+    GIVEN("a request that is not answered in time")
+    {
+        bench.send(1, first.token, 2001, 6000, 100);
+        bench.run(milliseconds(40));
+        CHECK(bench.actions.checks.empty());
+        bench.run(milliseconds(60));
+        REQUIRE(bench.actions.checks.size() == 1);
+        CHECK(bench.actions.checks[0]->record.name == name);
+
+        WHEN("the target can be connected to")
+        {
+            bench.endChecks(CheckOutcome::Connected);
+            THEN("it stays in use, and no flow is reset: a packet or its answer was lost")
+            {
+                CHECK(bench.actions.resets.empty());
+                CHECK(bench.send(1, first.token, 2001, 6000, 100).kind == PacketDecision::Kind::Forward);
+                CHECK_FALSE(first.target->isSilent());
+            }
+        }
+        WHEN("one check times out and the target answers meanwhile")
+        {
+            bench.clock.advance(milliseconds(10));
+            bench.send(1, first.token, 2101, 6100, 0);
+            bench.endChecks(CheckOutcome::TimedOut);
+            CHECK(bench.actions.resets.empty());
+            CHECK_FALSE(first.target->isSilent());
+        }
+        WHEN("two checks in a row time out")
+        {
+            bench.endChecks(CheckOutcome::TimedOut, second.target->record.name);
+            THEN("its flows are reset at once, so that their callers try again in time")
+            {
+                REQUIRE(bench.actions.resets.size() == 1);
+                CHECK(bench.actions.resets[0].flow == FlowBench::flow(1));
+                CHECK(bench.resets(ResetReason::TargetSilent) == 1);
+                CHECK(bench.send(1, first.token, 2001, 6000, 100).kind == PacketDecision::Kind::Reset);
+            }
+            THEN("new flows go elsewhere")
+            {
+                for (uint16_t port = 10; port < 20; ++port) {
+                    CHECK(bench.open(port).target == second.target);
+                }
+            }
+            THEN("it is checked again, ever less often, and used again once it answers")
+            {
+                bench.run(milliseconds(520));
+                REQUIRE(bench.endChecks(CheckOutcome::TimedOut) == 1);
+                bench.run(milliseconds(520));
+                CHECK(bench.actions.checks.empty());
+                bench.run(milliseconds(520));
+                REQUIRE(bench.endChecks(CheckOutcome::Connected) == 1);
+                CHECK_FALSE(first.target->isSilent());
+            }
+        }
+        WHEN("its host refuses the connection, one check is proof")
+        {
+            bench.endChecks(CheckOutcome::Refused, second.target->record.name);
+            CHECK(bench.actions.resets.size() == 1);
+        }
+    }
+    GIVEN("an opening packet that no caller follows up")
+    {
+        const PacketDecision opened = bench.open(5);
+        bench.run(milliseconds(100));
+        REQUIRE(bench.actions.checks.size() == 1);
+        CHECK(bench.actions.checks[0] == opened.target);
+        THEN("its repeat goes to another target")
+        {
+            CHECK(bench.open(5).target != opened.target);
+        }
+    }
+    GIVEN("an opening packet whose target answers others")
+    {
+        const PacketDecision opened = bench.open(5);
+        bench.clock.advance(milliseconds(100));
+        bench.exchange(opened.target == first.target ? 1 : 2, opened.token, 9, milliseconds(10));
+        THEN("its repeat goes to the same target: the packet was lost")
+        {
+            CHECK(bench.open(5).target == opened.target);
+        }
+    }
+}
+
+TEST_CASE("correlated failure: when one target falls silent, all others with flows are checked")
+{
+    FlowBench bench;
+    bench.load({ makeTarget("b1"), makeTarget("b2"), makeTarget("b3"), makeTarget("b4") });
+    std::map<std::string, uint16_t> ports;
+    std::map<std::string, RoutingToken> tokens;
+    for (uint16_t port = 1; port <= 3; ++port) {
+        const PacketDecision opened = bench.establish(port);
+        ports[opened.target->record.name] = port;
+        tokens[opened.target->record.name] = opened.token;
+    }
+    const auto &[name, port] = *ports.begin();
+    bench.send(port, tokens[name], 2001, 6000, 100);
+    bench.run(milliseconds(100));
+    REQUIRE(bench.actions.checks.size() == 1);
+    const TargetPtr silent = bench.actions.checks[0];
+    bench.actions.checks.clear();
+    bench.forwarder.endCheck(silent, CheckOutcome::Refused, bench.actions);
+    CHECK(bench.actions.checks.size() == 2); // the target without flows has nobody who waits for it
+    bench.endChecks(CheckOutcome::Refused);
+    CHECK(bench.actions.resets.size() == 3); // also of the callers that had sent nothing
+}
+
+TEST_CASE("retry storm: callers of a service without a reachable target are refused at once")
+{
+    FlowBench bench;
+    bench.load({ makeTarget("b1") });
+    bench.establish(1);
+    bench.open(2);
+    bench.run(milliseconds(100));
+    bench.endChecks(CheckOutcome::Refused);
+    CHECK(bench.open(3).kind == PacketDecision::Kind::Reset);
+    CHECK(bench.resets(ResetReason::NoTarget) == 1);
+}
+
+TEST_CASE("pause of the own process: late answers after it accuse no target that can be connected to")
+{
+    FlowBench bench;
+    bench.load({ makeTarget("b1") });
+    const PacketDecision opened = bench.establish(1);
+    bench.send(1, opened.token, 1001, 5000, 100);
+    bench.clock.advance(seconds(4)); // no tick: the process stood still
+    bench.forwarder.tick(bench.actions);
+    REQUIRE(bench.actions.checks.size() == 1);
+    bench.forwarder.endCheck(opened.target, CheckOutcome::TimedOut, bench.actions); // the check may be from before the pause
+    CHECK(bench.actions.resets.empty());
+    bench.actions.checks.clear();
+    bench.forwarder.endCheck(opened.target, CheckOutcome::Connected, bench.actions);
+    CHECK(bench.actions.resets.empty());
+    CHECK_FALSE(opened.target->isSilent());
+}
