Passive health: a verdict needs a passed check of another target; the store is read once a second at most

A configuration of 1,646 routes came to a machine with 10 Mbit/s and 0.12 cores; both 50 ms checks of a living target waited behind it in the machine's own link and timed out (log of front-kv-a-11 at 21.69 s). Change: with the second check another target is checked too; unless that one passes, a third check of 500 ms decides. An object's structured content is parsed once instead of parsed, written and parsed again. Ruled out: a late event loop (a connection that was made in time is seen before the timer). Story 'full link' fails without the reference.

--- a/src/apps/flowdaemon.cpp
+++ b/src/apps/flowdaemon.cpp
@@ -37,8 +37,8 @@
 {
     WatcherSettings settings;
     settings.watchTimeout = seconds(3);        // a connection that went silent is noticed within this and the call's timeout
-    settings.shortTimeout = milliseconds(700); // while a target is missing
-    settings.pause = milliseconds(250);        // changes of a release come in groups
+    settings.shortTimeout = milliseconds(500); // while a target is missing
+    settings.pause = seconds(1);               // changes of a release come in groups; a draining target may get new flows for this long
     settings.firstBackoff = milliseconds(200);
     settings.maxBackoff = seconds(1);
     return settings;
@@ -201,9 +201,9 @@
         for (const FlowReset &reset : actions.resets) {
             this->sendReset(reset);
         }
-        for (const TargetPtr &target : actions.checks) {
-            checkConnection(this->context, target->record.address, this->settings.flows->parts.checkTimeout,
-                            [this, target](ConnectionResult result) { this->onChecked(target, result); });
+        for (const ConnectionCheck &check : actions.checks) {
+            checkConnection(this->context, check.target->record.address, check.timeout,
+                            [this, target = check.target](ConnectionResult result) { this->onChecked(target, result); });
         }
         if (actions.wantsTargets) {
             this->targets.callNow();
--- a/src/apps/tunables.cpp
+++ b/src/apps/tunables.cpp
@@ -106,6 +106,7 @@
     flowTunable<&FlowSettings::sweepChecks>("sweep_checks", 0, 10'000),
     flowTunable<&FlowSettings::checkInterval>("check_interval_ms", 10, minuteMs),
     flowTunable<&FlowSettings::checkTimeout>("check_timeout_ms", 10, 5000),
+    flowTunable<&FlowSettings::longCheckTimeout>("long_check_timeout_ms", 10, 5000),
     flowTunable<&FlowSettings::checksToFail>("checks_to_fail", 1, 10),
     flowTunable<&FlowSettings::silentCheck>("silent_check_ms", 10, minuteMs),
     flowTunable<&FlowSettings::silentCheckMax>("silent_check_max_ms", 10, minuteMs),
--- a/src/flows/flowforwarder.cpp
+++ b/src/flows/flowforwarder.cpp
@@ -223,6 +223,22 @@
         this->checkOthers(out);
     } else if (verdict == HealthVerdict::CheckAgain) {
         this->beginCheck(target, out);
+        this->checkReference(target, out);
+    }
+}
+
+// the target that answered last shows whether the own link lets connections through
+void FlowForwarder::checkReference(const TargetPtr &suspect, FlowActions &out)
+{
+    TargetPtr reference;
+    for (const TargetPtr &target : this->directory.all()) {
+        const bool isUsable = target != suspect && target->phase != TargetPhase::Departed && !target->isSilent() && !target->isChecking;
+        if (isUsable && (reference == nullptr || target->lastProgress > reference->lastProgress)) {
+            reference = target;
+        }
+    }
+    if (reference != nullptr) {
+        this->beginCheck(reference, out);
     }
 }
 
@@ -286,8 +302,7 @@
 
 void FlowForwarder::beginCheck(const TargetPtr &target, FlowActions &out)
 {
-    this->health.beginCheck(*target, this->clock.now());
-    out.checks.push_back(target);
+    out.checks.push_back({ target, this->health.beginCheck(*target, this->clock.now()) });
 }
 
 //--- State
--- a/src/flows/flowforwarder.h
+++ b/src/flows/flowforwarder.h
@@ -33,12 +33,19 @@
     FlowReset reset;
 };
 
+/** A target to connect to, with the time that this may take. */
+struct ConnectionCheck
+{
+    TargetPtr target;
+    Duration timeout;
+};
+
 /** What the forwarder asks for besides the packet at hand. */
 struct FlowActions
 {
     std::vector<FlowReset> resets;
-    std::vector<TargetPtr> checks; // connect to them and tell endCheck
-    bool wantsTargets = false;     // ask the store for the targets now
+    std::vector<ConnectionCheck> checks; // each ends with endCheck
+    bool wantsTargets = false;           // ask the store for the targets now
 };
 
 /** Told of each decision and each change of what the forwarder believes. Must not call it back. */
@@ -97,6 +104,7 @@
     PacketDecision refuse(const FlowPacket &packet, ResetReason reason, FlowState *state);
     void resetFlows(const TargetPtr &target, ResetReason reason, FlowActions &out);
     void checkOthers(FlowActions &out);
+    void checkReference(const TargetPtr &suspect, FlowActions &out);
     void beginCheck(const TargetPtr &target, FlowActions &out);
     void report(const std::vector<TargetChange> &changes, FlowActions &out);
     bool isConfigurationFresh() const;
--- a/src/flows/passivehealth.cpp
+++ b/src/flows/passivehealth.cpp
@@ -32,11 +32,12 @@
     return target.isSilent() && !target.isChecking && now >= target.nextCheck;
 }
 
-void PassiveHealth::beginCheck(Target &target, TimePoint now)
+Duration PassiveHealth::beginCheck(Target &target, TimePoint now)
 {
     target.isChecking = true;
     target.checkedAt = now;
     this->counters.add(FlowCounter::ChecksBegun);
+    return target.failedChecks < this->settings.checksToFail ? this->settings.checkTimeout : this->settings.longCheckTimeout;
 }
 
 HealthVerdict PassiveHealth::endCheck(Target &target, CheckOutcome outcome, TimePoint now)
@@ -47,6 +48,7 @@
         target.failedChecks = 0;
         target.silentSince = TimePoint{};
         target.checkWait = Duration{ 0 };
+        this->lastConnected = now;
         return HealthVerdict::Unchanged;
     }
     this->counters.add(FlowCounter::ChecksFailed);
@@ -60,7 +62,10 @@
         target.failedChecks = 0; // it answered a flow during the check
         return HealthVerdict::Unchanged;
     }
-    if (outcome != CheckOutcome::Refused && target.failedChecks < this->settings.checksToFail) {
+    const bool isLinkGood = this->lastConnected > target.checkedAt;
+    const bool isLong = target.failedChecks > this->settings.checksToFail;
+    const bool isProof = outcome == CheckOutcome::Refused || isLong || (isLinkGood && target.failedChecks == this->settings.checksToFail);
+    if (!isProof) {
         return HealthVerdict::CheckAgain;
     }
     target.silentSince = now;
--- a/src/flows/passivehealth.h
+++ b/src/flows/passivehealth.h
@@ -1,7 +1,8 @@
 #pragma once
 
 // Which targets have fallen silent. The callers' packets give the evidence, a connection to the target the verdict: a lost packet or one
-// harmed link of a caller condemns no target, and one flow of a dead target is enough to find it.
+// harmed link of a caller condemns no target, and one flow of a dead target is enough to find it. A check that times out proves nothing while no other
+// target can be connected to: the own link may be full or cut.
 
 #include "core/clock.h"
 #include "flows/flowcounters.h"
@@ -39,14 +40,15 @@
     bool addEvidence(Target &target, TimePoint since, TimePoint now);
     /** Whether a silent target is to be checked again. */
     bool isDue(const Target &target, TimePoint now) const;
-    /** A check has begun. */
-    void beginCheck(Target &target, TimePoint now);
+    /** A check has begun. Returns how long it may take. */
+    Duration beginCheck(Target &target, TimePoint now);
     /** Takes what the check gave. */
     HealthVerdict endCheck(Target &target, CheckOutcome outcome, TimePoint now);
 
 private:
     const FlowSettings &settings;
     FlowCounters &counters;
+    TimePoint lastConnected; // when a check of any target passed: until then the own link may be at fault
 };
 
 } // namespace hornbeam
--- a/src/store/platformapi.cpp
+++ b/src/store/platformapi.cpp
@@ -19,10 +19,15 @@
     return names[static_cast<size_t>(outcome)];
 }
 
+nlohmann::json contentOf(const PlatformObject &object)
+{
+    return object.content != nullptr ? *object.content : nlohmann::json::parse(object.value, nullptr, false);
+}
+
 void readInstances(PlatformReply &reply)
 {
     for (const PlatformObject &object : reply.objects) {
-        const nlohmann::json entry = nlohmann::json::parse(object.value, nullptr, false);
+        const nlohmann::json entry = contentOf(object);
         if (entry.is_object()) {
             reply.instances.push_back({ object.key.substr(instancePrefix.size()), textAt(entry, "zone"), textAt(entry, "address"), textAt(entry, "state") });
         }
--- a/src/store/platformapi.h
+++ b/src/store/platformapi.h
@@ -7,6 +7,8 @@
 #include "core/types.h"
 
 #include <functional>
+#include <memory>
+#include <nlohmann/json_fwd.hpp>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -50,9 +52,10 @@
 struct PlatformObject
 {
     std::string key;
-    uint64_t version = 0; // only rises, also past a deletion
-    std::string value;
-    bool isDeleted = false; // in answers to watches only
+    uint64_t version = 0;                                    // only rises, also past a deletion
+    std::string value;                                       // when it is stored as text
+    bool isDeleted = false;                                  // in answers to watches only
+    std::shared_ptr<const nlohmann::json> content = nullptr; // when it is stored as structured data
 };
 
 struct PlatformInstance
@@ -63,6 +66,9 @@
     std::string state;   // "live" or "leaving"
 };
 
+/** The content of an object as structured data; discarded when it is text that is not JSON. Thread safe. */
+nlohmann::json contentOf(const PlatformObject &object);
+
 /** The answer to any call; each call fills the fields that belong to it. */
 struct PlatformReply
 {
--- a/tests/flowfakes.h
+++ b/tests/flowfakes.h
@@ -135,7 +135,7 @@
     {
         size_t count = 0;
         while (!this->actions.checks.empty()) {
-            const TargetPtr target = this->actions.checks.front();
+            const TargetPtr target = this->actions.checks.front().target;
             this->actions.checks.erase(this->actions.checks.begin());
             this->forwarder.endCheck(target, target->record.name == except ? CheckOutcome::Connected : outcome, this->actions);
             ++count;
--- a/tests/flowload_test.cpp
+++ b/tests/flowload_test.cpp
@@ -127,7 +127,7 @@
         CHECK(bench.actions.checks.empty());
         bench.run(milliseconds(60));
         REQUIRE(bench.actions.checks.size() == 1);
-        CHECK(bench.actions.checks[0]->record.name == name);
+        CHECK(bench.actions.checks[0].target->record.name == name);
 
         WHEN("the target can be connected to")
         {
@@ -185,7 +185,7 @@
         const PacketDecision opened = bench.open(5);
         bench.run(milliseconds(100));
         REQUIRE(bench.actions.checks.size() == 1);
-        CHECK(bench.actions.checks[0] == opened.target);
+        CHECK(bench.actions.checks[0].target == opened.target);
         THEN("its repeat goes to another target")
         {
             CHECK(bench.open(5).target != opened.target);
@@ -218,7 +218,7 @@
     bench.send(port, tokens[name], 2001, 6000, 100);
     bench.run(milliseconds(100));
     REQUIRE(bench.actions.checks.size() == 1);
-    const TargetPtr silent = bench.actions.checks[0];
+    const TargetPtr silent = bench.actions.checks[0].target;
     bench.actions.checks.clear();
     bench.forwarder.endCheck(silent, CheckOutcome::Refused, bench.actions);
     CHECK(bench.actions.checks.size() == 2); // the target without flows has nobody who waits for it
@@ -238,6 +238,31 @@
     CHECK(bench.resets(ResetReason::NoTarget) == 1);
 }
 
+TEST_CASE("full link: while no target can be connected to, timed-out checks condemn none before the long one")
+{
+    FlowBench bench;
+    bench.load({ makeTarget("b1"), makeTarget("b2") });
+    const PacketDecision first = bench.establish(1);
+    bench.establish(2);
+    bench.send(1, first.token, 1001, 5000, 100);
+    bench.run(milliseconds(100));
+    for (int round = 0; round < 2; ++round) { // the first check, then the second with a reference
+        REQUIRE_FALSE(bench.actions.checks.empty());
+        const std::vector<ConnectionCheck> checks = std::move(bench.actions.checks);
+        bench.actions.checks.clear();
+        bench.clock.advance(milliseconds(50));
+        for (const ConnectionCheck &check : checks) {
+            CHECK(check.timeout == milliseconds(50));
+            bench.forwarder.endCheck(check.target, CheckOutcome::TimedOut, bench.actions);
+        }
+    }
+    CHECK(bench.actions.resets.empty());
+    CHECK(bench.actions.checks.at(0).timeout == milliseconds(500));
+    bench.endChecks(CheckOutcome::Connected);
+    CHECK(bench.actions.resets.empty());
+    CHECK(bench.observer.silent.empty());
+}
+
 TEST_CASE("pause of the own process: late answers after it accuse no target that can be connected to")
 {
     FlowBench bench;
