--- /dev/null
+++ b/tests/flowdaemon_test.cpp
@@ -0,0 +1,247 @@
+// The real hornbeamd with flows, beside the store's stand-in; this process is the router, the caller and the targets.
+
+#include "childprocess.h"
+#include "platform/packethead.h"
+#include "store/httpget.h"
+
+#include <arpa/inet.h>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <catch2/catch.hpp>
+#include <filesystem>
+#include <fstream>
+#include <nlohmann/json.hpp>
+#include <sys/socket.h>
+#include <thread>
+
+using namespace hornbeam;
+using nlohmann::json;
+
+namespace {
+
+/** A UDP socket on loopback. */
+class Peer
+{
+public:
+    explicit Peer(uint16_t port = 0) : descriptor(::socket(AF_INET, SOCK_DGRAM | SOCK_CLOEXEC, 0))
+    {
+        sockaddr_in address = at({ 0x7F000001, port });
+        REQUIRE(::bind(this->descriptor, reinterpret_cast<sockaddr *>(&address), sizeof(address)) == 0);
+        timeval patience{ 2, 0 };
+        ::setsockopt(this->descriptor, SOL_SOCKET, SO_RCVTIMEO, &patience, sizeof(patience));
+    }
+    ~Peer()
+    {
+        ::close(this->descriptor);
+    }
+    Peer(const Peer &) = delete;
+    Peer &operator=(const Peer &) = delete;
+
+    uint16_t port() const
+    {
+        sockaddr_in address{};
+        socklen_t size = sizeof(address);
+        ::getsockname(this->descriptor, reinterpret_cast<sockaddr *>(&address), &size);
+        return ntohs(address.sin_port);
+    }
+    void send(const Endpoint &to, const Bytes &data) const
+    {
+        const sockaddr_in address = at(to);
+        ::sendto(this->descriptor, data.data(), data.size(), 0, reinterpret_cast<const sockaddr *>(&address), sizeof(address));
+    }
+    /** The next datagram; empty when none comes within 2 s. */
+    Bytes receive() const
+    {
+        Bytes data(2048);
+        const ssize_t size = ::recv(this->descriptor, data.data(), data.size(), 0);
+        data.resize(size < 0 ? 0 : static_cast<size_t>(size));
+        return data;
+    }
+
+private:
+    static sockaddr_in at(const Endpoint &endpoint)
+    {
+        sockaddr_in address{};
+        address.sin_family = AF_INET;
+        address.sin_port = htons(endpoint.port);
+        address.sin_addr.s_addr = htonl(endpoint.address);
+        return address;
+    }
+    int descriptor;
+};
+
+uint16_t freePort()
+{
+    boost::asio::io_context context;
+    boost::asio::ip::tcp::acceptor acceptor(context, { boost::asio::ip::address_v4::loopback(), 0 });
+    return acceptor.local_endpoint().port();
+}
+
+void create(const Endpoint &store, const std::string &kind, const std::string &name, const json &spec)
+{
+    namespace http = boost::beast::http;
+    boost::asio::io_context context;
+    boost::beast::tcp_stream stream(context);
+    stream.connect(boost::asio::ip::tcp::endpoint(boost::asio::ip::address_v4(store.address), store.port));
+    http::request<http::string_body> request(http::verb::post, "/api/objects/" + kind, 11);
+    request.body() = json{ { "meta", { { "name", name } } }, { "spec", spec } }.dump();
+    request.prepare_payload();
+    http::write(stream, request);
+    boost::beast::flat_buffer buffer;
+    http::response<http::string_body> response;
+    http::read(stream, buffer, response);
+    REQUIRE(response.result() == http::status::created);
+}
+
+/** One hornbeamd with a settings file of its own. */
+struct FlowProcess
+{
+    FlowProcess(const std::string &name, const Endpoint &store) : file(std::filesystem::temp_directory_path() / (name + std::to_string(::getpid()) + ".json"))
+    {
+        const json settings{ { "name", name },
+                             { "zone", "here" },
+                             { "address", "127.0.0.1" },
+                             { "peer_port", freePort() },
+                             { "metrics_port", this->metrics.port },
+                             { "platform", toString(store) },
+                             { "flows", { { "packet_address", toString(this->packets) }, { "readiness_address", toString(this->readiness) } } } };
+        std::ofstream(this->file) << settings;
+        this->child = std::make_unique<ChildProcess>("hornbeamd", std::vector<std::string>{ "--settings", this->file.string() });
+    }
+    ~FlowProcess()
+    {
+        std::filesystem::remove(this->file);
+    }
+    bool isReady() const
+    {
+        return httpGet(this->readiness, "/ready", seconds(1)).has_value();
+    }
+    bool waitReady() const
+    {
+        for (int i = 0; i < 100 && !this->isReady(); ++i) {
+            std::this_thread::sleep_for(milliseconds(50));
+        }
+        return this->isReady();
+    }
+    std::filesystem::path file;
+    Endpoint packets{ 0x7F000001, freePort() };
+    Endpoint readiness{ 0x7F000001, freePort() };
+    Endpoint metrics{ 0x7F000001, freePort() };
+    std::unique_ptr<ChildProcess> child;
+};
+
+Bytes makePacket(const FlowKey &flow, bool isOpening, RoutingToken token, uint32_t sequence, const std::string &content)
+{
+    Bytes packet(packetHeadBytes + content.size(), 0);
+    const auto put = [&](size_t at, size_t bytes, uint64_t number) {
+        for (size_t i = 0; i < bytes; ++i) {
+            packet[at + i] = static_cast<uint8_t>(number >> (8 * (bytes - 1 - i)));
+        }
+    };
+    put(0, 2, content.size());
+    put(2, 1, isOpening ? 4 : 1);
+    put(8, 4, token);
+    put(12, 4, sequence);
+    put(16, 4, isOpening ? 0 : 5000);
+    put(20, 2, flow.caller.port);
+    put(22, 2, flow.service.port);
+    put(24, 4, flow.service.address);
+    put(28, 4, flow.caller.address);
+    std::copy(content.begin(), content.end(), packet.begin() + packetHeadBytes);
+    return packet;
+}
+
+}
+
+TEST_CASE("two instances forward one flow, and a planned stop loses none of its packets", "[endtoend]")
+{
+    ChildProcess platform("standins-platform", { "--listen", "127.0.0.1:0" });
+    Endpoint store;
+    REQUIRE(parseEndpoint(platform.readLine().substr(std::string("listening ").size()), store));
+    FlowProcess first("first", store);
+    FlowProcess second("second", store);
+    Peer target;
+    boost::asio::io_context context;
+    const boost::asio::ip::tcp::acceptor health(context, { boost::asio::ip::address_v4::loopback(), target.port() }); // it can be connected to
+    const Endpoint service{ 0xC6120001, 443 };
+    const FlowKey flow{ { 0x7F000001, 40001 }, service };
+
+    REQUIRE_FALSE(first.isReady()); // nothing is known yet
+    create(store, "servers", "i-1f",
+           { { "service", "booking" },
+             { "address", "127.0.0.1:" + std::to_string(target.port()) },
+             { "zone", "here" },
+             { "slots", 2 },
+             { "state", "ready" },
+             { "warmupLeftMs", 0 },
+             { "born", 5 } });
+    create(store, "config", "main",
+           { { "version", 1 },
+             { "routes",
+               { { { "name", "r" },
+                   { "host", "198.18.0.1" },
+                   { "pathPrefix", "/443/" },
+                   { "kind", "safe" },
+                   { "timeoutMs", 800 },
+                   { "targetLatencyMs", 120 },
+                   { "service", "booking" } } } },
+             { "services", json::array() },
+             { "limits", { { "idleTimeoutMs", 15000 } } } });
+    REQUIRE(first.waitReady());
+    REQUIRE(second.waitReady());
+
+    Peer router;
+    router.send(first.packets, makePacket(flow, true, 0, 100, ""));
+    const Bytes opened = target.receive();
+    REQUIRE(opened.size() == deliveryBytes + packetHeadBytes);
+    CHECK(opened[7] == 0x1f);
+    const auto opening = readPacket(opened.data() + deliveryBytes, opened.size() - deliveryBytes);
+    REQUIRE(opening.has_value());
+    CHECK(opening->token != 0);
+
+    SECTION("the other instance knows the flow by its token alone")
+    {
+        router.send(second.packets, makePacket(flow, false, opening->token, 101, "hello"));
+        CHECK(target.receive().size() == deliveryBytes + packetHeadBytes + 5);
+    }
+    SECTION("a stopping instance is not ready, forwards on, and exits with 0")
+    {
+        first.child->sendSignal(SIGTERM);
+        std::this_thread::sleep_for(milliseconds(300));
+        CHECK_FALSE(first.isReady());
+        router.send(first.packets, makePacket(flow, false, opening->token, 101, "hello"));
+        CHECK(target.receive().size() == deliveryBytes + packetHeadBytes + 5);
+        CHECK(first.child->wait() == 0);
+    }
+    SECTION("SIGHUP reloads the settings, and broken ones are kept out")
+    {
+        std::ofstream(first.file) << "{ broken";
+        first.child->sendSignal(SIGHUP);
+        std::this_thread::sleep_for(milliseconds(300));
+        router.send(first.packets, makePacket(flow, false, opening->token, 101, "hello"));
+        CHECK(target.receive().size() == deliveryBytes + packetHeadBytes + 5);
+        first.child->sendSignal(SIGTERM);
+        CHECK(first.child->readAll().find("settings_kept") != std::string::npos);
+        CHECK(first.child->wait() == 0);
+    }
+    SECTION("an address without a route is answered by a reset to the caller")
+    {
+        // resets go to the caller's address at the port of the instance's own packet address
+        router.send(first.packets, makePacket({ { 0x7F000002, 40001 }, { 0xC6120009, 443 } }, true, 0, 100, ""));
+        std::this_thread::sleep_for(milliseconds(200));
+        const auto page = httpGet(first.metrics, "/metrics", seconds(1));
+        REQUIRE(page.has_value());
+        CHECK(page->find("hornbeam_flow_resets_total{reason=\"route_unknown\"} 1") != std::string::npos);
+    }
+    SECTION("noise is counted and does no harm")
+    {
+        for (size_t size = 0; size < 200; ++size) {
+            router.send(first.packets, Bytes(size, static_cast<uint8_t>(size * 31)));
+        }
+        router.send(first.packets, makePacket(flow, false, opening->token, 101, "hello"));
+        CHECK(target.receive().size() == deliveryBytes + packetHeadBytes + 5);
+        CHECK(httpGet(first.metrics, "/metrics", seconds(1))->find("dropped_total{reason=\"malformed\"} 0") == std::string::npos);
+    }
+}
--- /dev/null
+++ b/tests/flowplatform_test.cpp
@@ -0,0 +1,209 @@
+// Stories of what the users' platform speaks: packet heads, the store's objects, malformed ones among them.
+
+#include "platform/flowobjects.h"
+#include "platform/packethead.h"
+#include "platform/platformcodec.h"
+
+#include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
+#include <rapidcheck.h>
+
+using namespace hornbeam;
+using nlohmann::json;
+
+namespace {
+
+// the examples of the platform's pages
+const Bytes openingExample{ 0x00, 0x00, 0x04, 0x00, 0xa1, 0xb2, 0xc3, 0xd5, 0x00, 0x00, 0x00, 0x00, 0x11, 0x22, 0x33, 0x44,
+                            0x00, 0x00, 0x00, 0x00, 0x9c, 0x41, 0x01, 0xbb, 0xc6, 0x12, 0x00, 0x01, 0x64, 0x40, 0x00, 0x07 };
+const Bytes resetExample{ 0x00, 0x00, 0x20, 0x00, 0x00, 0x00, 0x00, 0x00, 0x00, 0x00, 0x00, 0x00, 0x00, 0x00, 0x00, 0x00,
+                          0x00, 0x00, 0x00, 0x00, 0x01, 0xbb, 0x9c, 0x41, 0x64, 0x40, 0x00, 0x07, 0xc6, 0x12, 0x00, 0x01 };
+
+PlatformObject targetObject(const json &changes = json::object())
+{
+    json spec{ { "service", "booking" }, { "address", "10.1.0.9:8080" }, { "zone", "here" }, { "version", "v1" },      { "slots", 2 },
+               { "state", "ready" },     { "warmupLeftMs", 250 },        { "seqNo", 4 },     { "born", 1772920000000 } };
+    spec.merge_patch(changes);
+    return { "servers/i-7f3a91c2", 7, spec.dump(), false };
+}
+
+json configurationSpec()
+{
+    return json::parse(R"({"version":7,"routes":[
+        {"name":"r1","host":"198.18.0.1","pathPrefix":"/8443/","kind":"safe","timeoutMs":800,"targetLatencyMs":120,"priority":2,
+         "split":[{"service":"booking","weight":90},{"service":"catalogue","weight":10}],"maxAttempts":2},
+        {"name":"r2","host":"198.18.0.1","pathPrefix":"/8080/","kind":"unsafe","timeoutMs":1000,"targetLatencyMs":150,"priority":1,"service":"booking"},
+        {"name":"r3","host":"198.18.0.2","pathPrefix":"/443/","kind":"download","timeoutMs":3000,"targetLatencyMs":500,"priority":2,"service":"catalogue"}],
+        "services":[{"name":"booking","healthPath":"/health","maxConnections":2000}],"limits":{"idleTimeoutMs":15000}})");
+}
+
+}
+
+TEST_CASE("packet heads are read and written as the platform's pages show them")
+{
+    SECTION("an opening packet")
+    {
+        const auto packet = readPacket(openingExample.data(), openingExample.size());
+        REQUIRE(packet.has_value());
+        CHECK(packet->isOpening);
+        CHECK(toString(packet->flow.caller) == "100.64.0.7:40001");
+        CHECK(toString(packet->flow.service) == "198.18.0.1:443");
+        CHECK(packet->sequence == 0x11223344);
+        CHECK(packet->token == 0);
+    }
+    SECTION("a reset of the own")
+    {
+        Bytes out;
+        writeReset({ { { 0x64400007, 40001 }, { 0xC6120001, 443 } }, 0 }, out);
+        CHECK(out == resetExample);
+    }
+    SECTION("a delivery changes nothing but the token")
+    {
+        Bytes out;
+        writeDelivery(openingExample.data(), openingExample.size(), deliveryIdOf("i-7f3a91c2"), 0x01020304, out);
+        CHECK(Bytes(out.begin(), out.begin() + 8) == Bytes{ 0, 0, 0, 0, 0x7f, 0x3a, 0x91, 0xc2 });
+        Bytes expected = openingExample;
+        std::copy_n(std::vector<uint8_t>{ 1, 2, 3, 4 }.begin(), 4, expected.begin() + 8);
+        CHECK(Bytes(out.begin() + 8, out.end()) == expected);
+    }
+    SECTION("what is cut, too long or of another length is refused")
+    {
+        CHECK_FALSE(readPacket(openingExample.data(), 31).has_value());
+        Bytes longer = openingExample;
+        longer.push_back(0);
+        CHECK_FALSE(readPacket(longer.data(), longer.size()).has_value());
+        longer.resize(maxPacketBytes + 1);
+        CHECK_FALSE(readPacket(longer.data(), longer.size()).has_value());
+    }
+    SECTION("any bytes are read or refused, and what is read is written back unchanged")
+    {
+        CHECK(rc::check("packets", [](const std::vector<uint8_t> &noise, uint8_t at, uint8_t byte) {
+            Bytes mutated = openingExample;
+            mutated[at % mutated.size()] = byte;
+            for (const Bytes &data : { noise, mutated }) {
+                const auto packet = readPacket(data.data(), data.size());
+                if (packet.has_value()) {
+                    Bytes out;
+                    writeDelivery(data.data(), data.size(), 1, packet->token, out);
+                    RC_ASSERT(Bytes(out.begin() + 8, out.end()) == data);
+                }
+            }
+        }));
+    }
+}
+
+TEST_CASE("targets are read whole or not at all")
+{
+    const TargetRead good = readTarget(targetObject());
+    REQUIRE(good.record.has_value());
+    CHECK(good.record->name == "i-7f3a91c2");
+    CHECK(good.record->deliveryId == 0x7f3a91c2);
+    CHECK(good.record->incarnation == 1772920000000);
+    CHECK(good.record->warmupLeft == milliseconds(250));
+    CHECK_FALSE(good.record->isDraining);
+    CHECK(readTarget(targetObject({ { "state", "draining" } })).record->isDraining);
+    CHECK(readTarget(targetObject({ { "unknown", 1 } })).record.has_value());
+
+    const std::vector<json> broken{ { { "service", nullptr } }, { { "service", 5 } },          { { "address", "10.1.0.9" } }, { { "address", 1 } },
+                                    { { "state", "asleep" } },  { { "state", true } },         { { "slots", "2" } },          { { "slots", -1 } },
+                                    { { "born", nullptr } },    { { "born", 1.5 } },           { { "zone", json::array() } }, { { "warmupLeftMs", "soon" } },
+                                    { { "address", "" } },      { { "address", "a.b.c.d:1" } } };
+    for (const json &change : broken) {
+        CAPTURE(change.dump());
+        const TargetRead read = readTarget(targetObject(change));
+        CHECK_FALSE(read.record.has_value());
+        CHECK(read.problem.find(change.begin().key()) != std::string::npos);
+    }
+    CHECK_FALSE(readTarget({ "servers/x", 1, "not JSON", false }).record.has_value());
+    CHECK_FALSE(readTarget({ "servers/x", 1, "[1,2]", false }).record.has_value());
+    CHECK_FALSE(readTarget({ "servers/x", 1, "", false }).record.has_value());
+}
+
+TEST_CASE("a configuration is read whole or not at all")
+{
+    const auto read = [](const json &spec) { return readConfiguration({ "config/main", 3, spec.dump(), false }); };
+    const ConfigurationRead good = read(configurationSpec());
+    REQUIRE(good.configuration.has_value());
+    CHECK(good.configuration->version == 7);
+    CHECK(good.configuration->idleTimeout == seconds(15));
+    CHECK(good.configuration->healthPaths.at("booking") == "/health");
+    REQUIRE(good.configuration->routes.size() == 3);
+    CHECK(toString(good.configuration->routes[0].address) == "198.18.0.1:8443");
+    CHECK(good.configuration->routes[0].shares.size() == 2);
+    CHECK(good.configuration->routes[0].kind == RequestKind::Idempotent);
+    CHECK(good.configuration->routes[1].kind == RequestKind::NonIdempotent);
+    CHECK(good.configuration->routes[2].kind == RequestKind::Idempotent);
+
+    const std::vector<std::pair<std::string, json>> broken{
+        { "/version", "7" },           { "/routes", 5 },
+        { "/routes/0", "r1" },         { "/routes/0/host", "elsewhere" },
+        { "/routes/0/pathPrefix", 1 }, { "/routes/0/pathPrefix", "8443" },
+        { "/routes/0/kind", "odd" },   { "/routes/0/split", json::array() },
+        { "/routes/1/service", 5 },    { "/routes/0/split/0/weight", -1 },
+    };
+    for (const auto &[path, value] : broken) {
+        CAPTURE(path, value.dump());
+        json spec = configurationSpec();
+        spec[json::json_pointer(path)] = value;
+        const ConfigurationRead bad = read(spec);
+        CHECK_FALSE(bad.configuration.has_value());
+        CHECK_FALSE(bad.problem.empty());
+    }
+    SECTION("any text gives a configuration or a problem")
+    {
+        CHECK(rc::check("configurations", [&](const std::string &noise, uint16_t at, uint8_t byte) {
+            std::string mutated = configurationSpec().dump();
+            mutated[at % mutated.size()] = static_cast<char>(byte);
+            for (const std::string &text : { noise, mutated }) {
+                const ConfigurationRead any = readConfiguration({ "config/main", 1, text, false });
+                RC_ASSERT(any.configuration.has_value() == any.problem.empty());
+                const TargetRead target = readTarget({ "servers/x", 1, text, false });
+                RC_ASSERT(target.record.has_value() == target.problem.empty());
+            }
+        }));
+    }
+}
+
+TEST_CASE("lists and watches of the store")
+{
+    SECTION("pages are joined, and the watch goes on from the first page's revision")
+    {
+        PlatformReply reply;
+        ObjectPage page;
+        REQUIRE(readPage(R"({"items":[{"meta":{"name":"a","rev":3},"spec":{"x":1}}],"hasMore":true,"currentRev":9})", "servers/", reply, page));
+        CHECK(page.hasMore);
+        CHECK(page.lastName == "a");
+        REQUIRE(readPage(R"({"items":[{"meta":{"name":"b","rev":4},"spec":{"x":2}}],"hasMore":false,"currentRev":12})", "servers/", reply, page));
+        CHECK_FALSE(page.hasMore);
+        CHECK(reply.objects.size() == 2);
+        CHECK(reply.revision == 9);
+        CHECK(listPath("servers/", "a") == "/api/objects/servers?after=a");
+        CHECK(watchPath("servers/", 9, seconds(3)) == "/api/objects/servers?watch=9&waitMs=3000");
+    }
+    SECTION("one object with unreadable bytes does not hide the others")
+    {
+        const std::string body =
+            "{\"items\":[{\"meta\":{\"name\":\"a\",\"rev\":3},\"spec\":\"\xff\xfe\x80\"},{\"meta\":{\"name\":\"b\",\"rev\":4},\"spec\":{}}],"
+            "\"hasMore\":false,\"currentRev\":9}";
+        PlatformReply reply;
+        ObjectPage page;
+        REQUIRE(readPage(body, "servers/", reply, page));
+        CHECK(reply.objects.size() == 2);
+    }
+    SECTION("removals are told")
+    {
+        PlatformReply reply;
+        REQUIRE(readEvents(R"({"events":[{"removed":true,"object":{"meta":{"name":"a","rev":5}}}],"currentRev":10})", "servers/", reply));
+        REQUIRE(reply.objects.size() == 1);
+        CHECK(reply.objects[0].isDeleted);
+        CHECK(reply.objects[0].key == "servers/a");
+    }
+    SECTION("an answer without its revision is refused")
+    {
+        PlatformReply reply;
+        ObjectPage page;
+        CHECK_FALSE(readPage(R"({"items":[]})", "servers/", reply, page));
+        CHECK_FALSE(readEvents(R"({"events":{},"currentRev":1})", "servers/", reply));
+        CHECK_FALSE(readEvents("", "servers/", reply));
+    }
+}
