--- a/src/apps/flowdaemon.cpp
+++ b/src/apps/flowdaemon.cpp
@@ -253,7 +253,7 @@
                 this->onConfiguration(object);
             }
         }
-        this->forwarder.onConfigurationConfirmed(read.asked);
+        this->forwarder.onConfigurationConfirmed(this->clock.now());
         this->beginPackets();
     }
 
--- a/src/flows/flowforwarder.cpp
+++ b/src/flows/flowforwarder.cpp
@@ -178,9 +178,9 @@
     return this->routes.update(configuration);
 }
 
-void FlowForwarder::onConfigurationConfirmed(TimePoint asked)
+void FlowForwarder::onConfigurationConfirmed(TimePoint answered)
 {
-    this->configurationConfirmed = std::max(this->configurationConfirmed, asked);
+    this->configurationConfirmed = std::max(this->configurationConfirmed, answered);
 }
 
 void FlowForwarder::onTargets(const std::vector<TargetRecord> &records, TimePoint asked, FlowActions &out)
--- a/src/flows/flowforwarder.h
+++ b/src/flows/flowforwarder.h
@@ -73,8 +73,8 @@
     PacketDecision onPacket(const FlowPacket &packet, FlowActions &out);
     /** Puts a configuration in force; resets the flows of routes that it no longer has. */
     RouteTable::Update onConfiguration(const RouteConfiguration &configuration, FlowActions &out);
-    /** The store confirmed the configuration in force, by an answer to a question asked at `asked`. */
-    void onConfigurationConfirmed(TimePoint asked);
+    /** The store's answer at `answered` named no newer configuration than the one in force. */
+    void onConfigurationConfirmed(TimePoint answered);
     /** Takes all targets of the store, as of an answer to a question asked at `asked`. */
     void onTargets(const std::vector<TargetRecord> &records, TimePoint asked, FlowActions &out);
     /** Takes changes of single targets, and then the time of the question that they answer. */
--- a/tests/flowdaemon_test.cpp
+++ b/tests/flowdaemon_test.cpp
@@ -235,6 +235,13 @@
         REQUIRE(page.has_value());
         CHECK(page->find("hornbeam_flow_resets_total{reason=\"route_unknown\"} 1") != std::string::npos);
     }
+    SECTION("the configuration counts as fresh while the store answers that nothing changed")
+    {
+        std::this_thread::sleep_for(seconds(7)); // the second waiting call is on its way
+        router.send(first.packets, makePacket({ { 0x7F000002, 40001 }, { 0xC6120009, 443 } }, true, 0, 100, ""));
+        std::this_thread::sleep_for(milliseconds(200));
+        CHECK(httpGet(first.metrics, "/metrics", seconds(1))->find("hornbeam_flow_resets_total{reason=\"route_unknown\"} 1") != std::string::npos);
+    }
     SECTION("noise is counted and does no harm")
     {
         for (size_t size = 0; size < 200; ++size) {
