Store: lost answers are noticed within the stability window; pauses follow the bounds of the deployment; a CBOR length that throws

Cause: a watch whose connection went silent was noticed after 3 s + 2 s, later than the 4 s after which a machine counts as in touch again. Ruled out: longer waits with keep-alive probes (a response that was lost on a living connection is not seen by them).

--- a/src/apps/flowdaemon.cpp
+++ b/src/apps/flowdaemon.cpp
@@ -29,15 +29,17 @@
 constexpr milliseconds stopLinger(1800);    // routers notice within 2 probes of 500 ms each that no packets may come
 constexpr milliseconds startPatience(1000); // packets wait this long for the first answers of the store; callers give up after 0.8 s or more
 constexpr milliseconds pauseBound(500);     // a later tick means that this process stood still
-constexpr seconds storeCallTimeout(2);      // 4 ms is usual, 0.4 s when the store is slow
+constexpr milliseconds storeSilence(1000);  // of the store before the end of an answer: 4 ms is usual, 0.4 s when it is slow
+constexpr milliseconds watchMargin(500);    // for the call that follows a lost one
 constexpr const char *readinessPath = "/ready";
 
-WatcherSettings watcherSettings()
+// `bound`: within it a change of the store's objects must be acted upon
+WatcherSettings watcherSettings(const FlowServiceSettings &flows, Duration bound)
 {
     WatcherSettings settings;
-    settings.watchTimeout = seconds(3);        // a connection that went silent is noticed within this and the call's timeout
-    settings.shortTimeout = milliseconds(500); // while a target is missing
-    settings.pause = seconds(1);               // changes of a release come in groups; a draining target may get new flows for this long
+    settings.watchTimeout = flows.stability - storeSilence - watchMargin; // a lost answer is noticed before what it told must be in force
+    settings.shortTimeout = milliseconds(500);                            // while a target is missing
+    settings.pause = bound * 2 / 5;                                       // changes of a release come in groups; leaves time for a failed call and a second one
     settings.firstBackoff = milliseconds(200);
     settings.maxBackoff = seconds(1);
     return settings;
@@ -47,7 +49,7 @@
 {
     PlatformSettings store;
     store.endpoint = settings.platform;
-    store.callTimeout = storeCallTimeout;
+    store.callTimeout = storeSilence;
     return store;
 }
 
@@ -81,10 +83,11 @@
         , metrics(this->context, Endpoint{ settings.address, settings.metricsPort })
         , client(this->context, this->storeCounters, storeSettings(settings))
         , targets(
-              this->client, this->clock, this->seed, std::string(targetPrefix), [this](const ObjectsRead &read) { this->onTargets(read); }, watcherSettings())
+              this->client, this->clock, this->seed, std::string(targetPrefix), [this](const ObjectsRead &read) { this->onTargets(read); },
+              watcherSettings(*settings.flows, settings.flows->drainBound))
         , configurations(
               this->client, this->clock, this->seed + 1, std::string(configurationPrefix), [this](const ObjectsRead &read) { this->onConfigurations(read); },
-              watcherSettings())
+              watcherSettings(*settings.flows, settings.flows->changeBound))
         , signals(this->context, SIGTERM, SIGINT)
         , reloadSignal(this->context, SIGHUP)
         , tickTimer(this->context)
--- a/src/apps/settings.cpp
+++ b/src/apps/settings.cpp
@@ -138,6 +138,9 @@
     settings.keyFiles = files->get<std::vector<std::string>>();
 }
 
+constexpr int heartbeatsToLapse = 3;             // missed, until the store removes an entry
+constexpr Duration lapseLag = milliseconds(500); // of the store's removal and of a heartbeat on its way
+
 void readFlows(JsonFields &fields, DaemonSettings &settings, std::vector<Fault> &faults)
 {
     const json *object = fields.object("flows");
@@ -148,6 +151,17 @@
     JsonFields part(*object, "flows", faults);
     readEndpoint(part, "packet_address", settings.flows->packets);
     readEndpoint(part, "readiness_address", settings.flows->readiness);
+    const auto readBound = [&part](const char *key, uint64_t shortest, Duration &bound) {
+        constexpr uint64_t longest = 600'000;
+        auto number = static_cast<uint64_t>(std::chrono::duration_cast<milliseconds>(bound).count());
+        part.number(key, shortest, longest, number);
+        bound = milliseconds(number);
+    };
+    readBound("target_heartbeat_ms", 100, settings.flows->targetHeartbeat);
+    readBound("drain_bound_ms", 1000, settings.flows->drainBound);
+    readBound("change_bound_ms", 1000, settings.flows->changeBound);
+    readBound("stability_ms", 2000, settings.flows->stability);
+    settings.flows->parts.entryLapse = heartbeatsToLapse * settings.flows->targetHeartbeat + lapseLag;
     readFlowTunables(part, settings.flows->parts);
     part.finish();
 }
@@ -266,6 +280,11 @@
     if (settings.flows.has_value()) {
         object.erase("key_files");
         object["flows"] = { { "packet_address", toString(settings.flows->packets) }, { "readiness_address", toString(settings.flows->readiness) } };
+        const auto millis = [](Duration bound) { return std::chrono::duration_cast<milliseconds>(bound).count(); };
+        object["flows"]["target_heartbeat_ms"] = millis(settings.flows->targetHeartbeat);
+        object["flows"]["drain_bound_ms"] = millis(settings.flows->drainBound);
+        object["flows"]["change_bound_ms"] = millis(settings.flows->changeBound);
+        object["flows"]["stability_ms"] = millis(settings.flows->stability);
         writeFlowTunables(settings.flows->parts, object["flows"]);
     }
     writeTunables(settings.parts, object);
--- a/src/apps/settings.h
+++ b/src/apps/settings.h
@@ -25,9 +25,13 @@
 /** What an instance needs that forwards the flows of routes; one that has no such settings serves the CoAP services of tables. */
 struct FlowServiceSettings
 {
-    Endpoint packets;   // UDP: callers' packets arrive here, and resets are sent to its port at the caller
-    Endpoint readiness; // TCP, HTTP: whether routers may send packets here
-    FlowSettings parts; // tunables of the forwarding
+    Endpoint packets;                              // UDP: callers' packets arrive here, and resets are sent to its port at the caller
+    Endpoint readiness;                            // TCP, HTTP: whether routers may send packets here
+    FlowSettings parts;                            // tunables of the forwarding
+    Duration targetHeartbeat = milliseconds(1200); // between two writes of a target's entry
+    Duration drainBound = seconds(3);              // from the store's acknowledgement that a target drains to the last new flow that it may get
+    Duration changeBound = seconds(3);             // from the store's acknowledgement of a configuration to its being in force
+    Duration stability = seconds(4);               // after a failure, until what it left behind must be made good
 };
 
 struct DaemonSettings
--- a/src/apps/tunables.cpp
+++ b/src/apps/tunables.cpp
@@ -98,6 +98,7 @@
 
 constexpr FlowTunable flowTunables[] = {
     flowTunable<&FlowSettings::absence>("absence_ms", 100, minuteMs),
+    flowTunable<&FlowSettings::entryLapse>("entry_lapse_ms", 100, minuteMs),
     flowTunable<&FlowSettings::tokenLifetime>("token_lifetime_ms", 1000, hourMs),
     flowTunable<&FlowSettings::freshness>("freshness_ms", 100, minuteMs),
     flowTunable<&FlowSettings::openingPatience>("opening_patience_ms", 5, 1000),
--- a/src/peer/codec.cpp
+++ b/src/peer/codec.cpp
@@ -214,7 +214,12 @@
 
 std::optional<PeerMessage> decodeMessage(const uint8_t *data, size_t size)
 {
-    const json fields = json::from_cbor(data, data + size, true, false);
+    json fields;
+    try {
+        fields = json::from_cbor(data, data + size, true, false);
+    } catch (const json::exception &) {
+        return std::nullopt; // a length above what memory can hold is thrown even where faults are not to be
+    }
     if (!fields.is_array() || fields.empty() || !fields[0].is_number_unsigned()) {
         return std::nullopt;
     }
--- a/tests/codec_test.cpp
+++ b/tests/codec_test.cpp
@@ -76,4 +76,9 @@
         }
     });
     CHECK(held);
+
+    SECTION("a map that claims 2.3e17 entries (seed 2026-12-04)")
+    {
+        CHECK_FALSE(decodeMessage(Bytes{ 187, 3, 52, 0, 0, 0, 0, 0, 0 }).has_value());
+    }
 }
