A draining target that refuses connections may still answer; a fault soak of real processes

Change: a draining target must refuse twice, 300 ms apart, with no answer in between. The story failed first.

--- /dev/null
+++ b/soak/plan.cpp
@@ -0,0 +1,63 @@
+#include "plan.h"
+
+#include <algorithm>
+#include <array>
+#include <random>
+
+namespace hornbeam::soak {
+
+namespace {
+constexpr milliseconds shortestGap(200); // between the beginnings of two steps: most overlap
+constexpr milliseconds longestGap(2500);
+constexpr milliseconds shortestFault(300);
+constexpr milliseconds longestFault(3500);
+}
+
+std::string_view nameOf(StepKind kind)
+{
+    constexpr std::array<std::string_view, static_cast<size_t>(StepKind::Count)> names{
+        "restart_instance", "roll_instances", "reload_settings", "replace_target", "add_route",     "drop_route", "change_storm",
+        "kill_instance",    "kill_half",      "pause_instance",  "crash_target",   "freeze_target", "cut_link",   "silence_store",
+        "reset_store",      "delay_store",    "cut_store",       "lapse_entry",    "pause_store"
+    };
+    return names[static_cast<size_t>(kind)];
+}
+
+bool isPlanned(StepKind kind)
+{
+    return kind <= StepKind::ChangeStorm;
+}
+
+Plan drawPlan(uint64_t seed, Duration length, Duration calm)
+{
+    std::mt19937_64 random(seed);
+    const auto between = [&random](milliseconds low, milliseconds high) {
+        return milliseconds(std::uniform_int_distribution<int64_t>(low.count(), high.count())(random));
+    };
+    Plan plan;
+    Duration at = seconds(1);
+    while (true) {
+        Step step;
+        step.at = at;
+        step.kind = static_cast<StepKind>(std::uniform_int_distribution<int>(0, static_cast<int>(StepKind::Count) - 1)(random));
+        step.subject = static_cast<uint32_t>(random());
+        step.lasts = between(shortestFault, longestFault);
+        at += between(shortestGap, longestGap);
+        if (step.at + step.lasts > length - calm) {
+            return plan;
+        }
+        plan.push_back(step);
+    }
+}
+
+std::string toText(const Plan &plan)
+{
+    std::string text;
+    for (const Step &step : plan) {
+        text += "  " + std::to_string(std::chrono::duration_cast<milliseconds>(step.at).count()) + " ms " + std::string(nameOf(step.kind)) + " "
+            + std::to_string(step.subject) + " for " + std::to_string(std::chrono::duration_cast<milliseconds>(step.lasts).count()) + " ms\n";
+    }
+    return text;
+}
+
+} // namespace hornbeam::soak
--- a/src/apps/tunables.cpp
+++ b/src/apps/tunables.cpp
@@ -105,6 +105,7 @@
     flowTunable<&FlowSettings::answerPatience>("answer_patience_ms", 5, 60'000),
     flowTunable<&FlowSettings::lateFactor>("late_factor", 1, 100),
     flowTunable<&FlowSettings::sweepChecks>("sweep_checks", 0, 10'000),
+    flowTunable<&FlowSettings::endingPatience>("ending_patience_ms", 0, 60'000),
     flowTunable<&FlowSettings::checkInterval>("check_interval_ms", 10, minuteMs),
     flowTunable<&FlowSettings::checkTimeout>("check_timeout_ms", 10, 5000),
     flowTunable<&FlowSettings::longCheckTimeout>("long_check_timeout_ms", 10, 5000),
--- a/src/flows/flowforwarder.cpp
+++ b/src/flows/flowforwarder.cpp
@@ -209,7 +209,7 @@
         const TargetPtr &target = change.target;
         if (change.isNew) {
             if (target->isSilent()) {
-                this->silent.push_back(target); // its entry was away for a while
+                this->recheck(target); // its entry was away for a while
             }
         } else if (target->phase == TargetPhase::Departed) {
             this->resetFlows(target, ResetReason::TargetDeparted, out);
@@ -233,8 +233,10 @@
         this->report(this->directory.depart(target, now), out);
     } else if (verdict == HealthVerdict::Silent) {
         this->resetFlows(target, ResetReason::TargetSilent, out);
-        this->silent.push_back(target);
+        this->recheck(target);
         this->checkOthers(*target, out);
+    } else if (verdict == HealthVerdict::CheckLater) {
+        this->recheck(target);
     } else if (verdict == HealthVerdict::StillSilent) {
         this->resetFlows(target, ResetReason::TargetSilent, out); // those that came during the check
     } else if (verdict == HealthVerdict::CheckAgain) {
@@ -308,8 +310,11 @@
             this->beginCheck(state->target, out);
         }
     }
-    std::erase_if(this->silent, [](const TargetPtr &target) { return !target->isSilent() || target->phase == TargetPhase::Departed; });
-    for (const TargetPtr &target : this->silent) {
+    std::erase_if(this->rechecks, [](const TargetPtr &target) {
+        const bool isAccused = target->isSilent() || target->refusedAt != TimePoint{};
+        return !isAccused || target->phase == TargetPhase::Departed;
+    });
+    for (const TargetPtr &target : this->rechecks) {
         if (this->health.isDue(*target, now)) {
             this->beginCheck(target, out);
         }
@@ -321,6 +326,13 @@
     }
 }
 
+void FlowForwarder::recheck(const TargetPtr &target)
+{
+    if (std::find(this->rechecks.begin(), this->rechecks.end(), target) == this->rechecks.end()) {
+        this->rechecks.push_back(target);
+    }
+}
+
 void FlowForwarder::beginCheck(const TargetPtr &target, FlowActions &out)
 {
     out.checks.push_back({ target, this->health.beginCheck(*target, this->clock.now()) });
--- a/src/flows/flowforwarder.h
+++ b/src/flows/flowforwarder.h
@@ -105,6 +105,7 @@
     void resetFlows(const TargetPtr &target, ResetReason reason, FlowActions &out);
     void checkOthers(const Target &failed, FlowActions &out);
     void checkReference(const TargetPtr &suspect, FlowActions &out);
+    void recheck(const TargetPtr &target);
     void beginCheck(const TargetPtr &target, FlowActions &out);
     void report(const std::vector<TargetChange> &changes, FlowActions &out);
     bool isConfigurationFresh() const;
@@ -120,7 +121,7 @@
     PassiveHealth health;
     TargetChooser chooser;
     AnswerTimes answers;
-    std::vector<TargetPtr> silent; // to be checked again
+    std::vector<TargetPtr> rechecks; // silent targets, and draining ones that refused a connection
     TimePoint configurationConfirmed;
     TimePoint nextExpiry;
 };
--- a/src/flows/flowsettings.h
+++ b/src/flows/flowsettings.h
@@ -27,6 +27,7 @@
     Duration longCheckTimeout = seconds(1);       // of a check that decides while no other target can be connected to promptly; 1 MB at 10 Mbit/s
     Duration checkInterval = milliseconds(300);   // between two checks of a target that passes them
     uint32_t checksToFail = 2;                    // timed-out checks in a row that make a target silent, while others can be connected to
+    Duration endingPatience = milliseconds(300);  // of a draining target that refuses connections, to send its last answers
     uint32_t sweepChecks = 16;                    // other targets checked for each one that falls silent: faults of hosts and links come in groups
     Duration silentCheck = milliseconds(500);     // before a silent target is checked again; doubles
     Duration silentCheckMax = milliseconds(2500); // longest such wait; a cut that has healed is found within the 4 s that flows may be reset after it
--- a/src/flows/passivehealth.cpp
+++ b/src/flows/passivehealth.cpp
@@ -34,7 +34,7 @@
 
 bool PassiveHealth::isDue(const Target &target, TimePoint now) const
 {
-    return target.isSilent() && !target.isChecking && now >= target.nextCheck;
+    return (target.isSilent() || target.refusedAt != TimePoint{}) && !target.isChecking && now >= target.nextCheck;
 }
 
 Duration PassiveHealth::beginCheck(Target &target, TimePoint now)
@@ -60,6 +60,9 @@
     this->counters.add(FlowCounter::ChecksFailed);
     ++target.failedChecks;
     target.isReconnected = false;
+    if (outcome == CheckOutcome::Refused && this->mayBeEnding(target, now)) {
+        return HealthVerdict::CheckLater;
+    }
     if (outcome == CheckOutcome::Refused) {
         target.refusedAt = now;
     }
@@ -85,6 +88,19 @@
     return HealthVerdict::Silent;
 }
 
+// A target that leaves as planned accepts no more connections while it sends its last answers.
+bool PassiveHealth::mayBeEnding(Target &target, TimePoint now) const
+{
+    if (target.phase != TargetPhase::Draining || target.isSilent()) {
+        return false;
+    }
+    if (target.refusedAt == TimePoint{} || target.lastProgress > target.refusedAt) {
+        target.refusedAt = now;
+        target.nextCheck = now + this->settings.endingPatience;
+    }
+    return now - target.refusedAt < this->settings.endingPatience;
+}
+
 // Where a connection was refused, another process may have taken the address since. The target lives when the store lists it after the entry of a process
 // that had ended would have lapsed.
 void PassiveHealth::endPassed(Target &target, TimePoint listed, TimePoint now)
--- a/src/flows/passivehealth.h
+++ b/src/flows/passivehealth.h
@@ -27,6 +27,7 @@
     CheckAgain, // one check that timed out is no proof
     Silent,     // the target has just become silent
     StillSilent,
+    CheckLater, // a draining target refuses connections while it sends its last answers
 };
 
 /** Not thread safe: one event loop owns it. */
@@ -39,7 +40,7 @@
     void addProgress(Target &target, TimePoint now);
     /** A flow has waited for the target's answer since `since`. Returns whether its connection is to be checked now. */
     bool addEvidence(Target &target, TimePoint since, TimePoint now);
-    /** Whether a silent target is to be checked again. */
+    /** Whether a silent target, or a draining one that refused a connection, is to be checked again. */
     bool isDue(const Target &target, TimePoint now) const;
     /** A check has begun. Returns how long it may take. */
     Duration beginCheck(Target &target, TimePoint now);
@@ -49,6 +50,7 @@
     HealthVerdict endCheck(Target &target, CheckOutcome outcome, TimePoint listed, TimePoint now);
 
 private:
+    bool mayBeEnding(Target &target, TimePoint now) const;
     void endPassed(Target &target, TimePoint listed, TimePoint now);
 
     const FlowSettings &settings;
--- a/tests/flowload_test.cpp
+++ b/tests/flowload_test.cpp
@@ -289,3 +289,49 @@
     CHECK(bench.actions.resets.empty());
     CHECK_FALSE(opened.target->isSilent());
 }
+
+TEST_CASE("graceful exit: a draining target that refuses connections may still be sending its last answers")
+{
+    FlowBench bench;
+    bench.load({ makeTarget("b1"), makeTarget("b2") });
+    const PacketDecision opened = bench.establish(1);
+    const std::string other = opened.target->record.name == "b1" ? "b2" : "b1";
+    TargetRecord draining = opened.target->record;
+    draining.isDraining = true;
+    bench.list({ draining, makeTarget(other) });
+    bench.exchange(1, opened.token, 1, milliseconds(20));
+    bench.send(1, opened.token, 2001, 6000, 100);
+    bench.run(milliseconds(100));
+    REQUIRE(bench.endChecks(CheckOutcome::Refused, other) > 0);
+
+    THEN("its flows go on at first")
+    {
+        CHECK(bench.actions.resets.empty());
+        CHECK(bench.send(1, opened.token, 2001, 6000, 100).kind == PacketDecision::Kind::Forward);
+    }
+    WHEN("it answers meanwhile and refuses again")
+    {
+        bench.run(milliseconds(100));
+        bench.send(1, opened.token, 2101, 6100, 0);
+        bench.run(milliseconds(300));
+        bench.endChecks(CheckOutcome::Refused, other);
+        CHECK(bench.actions.resets.empty());
+    }
+    WHEN("it refuses again later without an answer in between")
+    {
+        bench.run(milliseconds(320));
+        REQUIRE(bench.endChecks(CheckOutcome::Refused, other) > 0);
+        THEN("it has ended, and its flows are reset")
+        {
+            CHECK(bench.actions.resets.size() == 1);
+        }
+    }
+    WHEN("its entry is gone, the next refusal is proof")
+    {
+        bench.list({ makeTarget(other) });
+        bench.send(1, opened.token, 2001, 6000, 100);
+        bench.run(milliseconds(320));
+        REQUIRE(bench.endChecks(CheckOutcome::Refused, other) > 0);
+        CHECK(bench.actions.resets.size() == 1);
+    }
+}
