hornbeamctl: targets, routes, flows, explain; gauges of beliefs and a histogram of forwarding times

Cause: an engineer with a flow's identifier had log lines and counters, but could not ask an instance what it believes now; the age of a belief stood in no metric. Change: pages /targets, /routes and /flows (2,000 newest) on the metrics address, hornbeamctl verbs that print them, explain FLOW, gauges for the version in force, ages, targets by phase and silent targets, one packet in 16 timed. Ruled out: query parameters on the metrics server (the pages are small); timing each packet (two clock reads cost about as much as forwarding).

--- a/src/apps/flowdaemon.cpp
+++ b/src/apps/flowdaemon.cpp
@@ -3,6 +3,7 @@
 #include "apps/flowdaemon.h"
 
 #include "apps/flowlog.h"
+#include "apps/flowpages.h"
 #include "flows/flowforwarder.h"
 #include "platform/flowobjects.h"
 #include "platform/packethead.h"
@@ -31,6 +32,7 @@
 constexpr milliseconds pauseBound(500);     // a later tick means that this process stood still
 constexpr milliseconds storeSilence(1000);  // of the store before the end of an answer: 4 ms is usual, 0.4 s when it is slow
 constexpr milliseconds watchMargin(500);    // for the call that follows a lost one
+constexpr uint64_t timedShare = 16;         // reading the clock twice costs about as much as forwarding
 constexpr const char *readinessPath = "/ready";
 
 // `bound`: within it a change of the store's objects must be acted upon
@@ -137,6 +139,9 @@
         this->readiness.addCheck(readinessPath, [this] { return this->isReady(); });
         this->readiness.beginAccept();
         this->metrics.addPage("/metrics", [this] { return this->metricsText(); });
+        this->metrics.addPage("/targets", [this] { return targetsPage(this->forwarder, this->clock.now()); });
+        this->metrics.addPage("/routes", [this] { return routesPage(this->forwarder); });
+        this->metrics.addPage("/flows", [this] { return flowsPage(this->forwarder, this->clock.now()); });
         this->metrics.beginAccept();
         return true;
     }
@@ -166,7 +171,19 @@
         this->packets.beginReceive([this](const Endpoint &, const uint8_t *data, size_t size) { this->onPacket(data, size); });
     }
 
+    // from reading a packet to sending it on; the time of one packet in `timedShare` is taken
     void onPacket(const uint8_t *data, size_t size)
+    {
+        if (++this->packetCount % timedShare != 0) {
+            this->forward(data, size);
+            return;
+        }
+        const TimePoint begun = this->clock.now();
+        this->forward(data, size);
+        this->forwardingTimes.add(this->clock.now() - begun);
+    }
+
+    void forward(const uint8_t *data, size_t size)
     {
         const std::optional<FlowPacket> packet = readPacket(data, size);
         if (!packet.has_value()) {
@@ -365,7 +382,9 @@
 
     std::string metricsText() const
     {
-        return this->forwarder.flowCounters().text() + this->forwarder.answerTimes().text("hornbeam_flow_answer_seconds") + this->storeCounters.text();
+        return this->forwarder.flowCounters().text() + flowGauges(this->forwarder, this->isReady(), this->clock.now())
+            + this->forwarder.answerTimes().text("hornbeam_flow_answer_seconds") + this->forwardingTimes.text("hornbeam_flow_forwarding_seconds")
+            + this->storeCounters.text() + "hornbeam_log_lines_left_out_total " + std::to_string(this->log.leftOut()) + "\n";
     }
 
     //--- Stop
@@ -410,6 +429,8 @@
     boost::asio::steady_timer tickTimer;
     boost::asio::steady_timer stopTimer;
     Bytes datagram; // the one being sent
+    uint64_t packetCount = 0;
+    Histogram forwardingTimes;
     const TimePoint startedAt = this->clock.now();
     bool isReceiving = false;
     bool isStopping = false;
--- a/src/apps/flowlog.cpp
+++ b/src/apps/flowlog.cpp
@@ -1,5 +1,7 @@
 #include "apps/flowlog.h"
 
+#include "apps/flowpages.h"
+
 #include <nlohmann/json.hpp>
 
 namespace hornbeam {
@@ -8,11 +10,6 @@
 using Fields = nlohmann::ordered_json;
 }
 
-std::string flowText(const FlowKey &flow)
-{
-    return toString(flow.caller) + ">" + toString(flow.service);
-}
-
 FlowLog::FlowLog(EventLog &log, const Clock &clock) : log(log), clock(clock)
 {
 }
--- a/src/apps/flowlog.h
+++ b/src/apps/flowlog.h
@@ -27,7 +27,4 @@
     const Clock &clock;
 };
 
-/** A flow's identifier in logs and queries: "caller>service". Thread safe. */
-std::string flowText(const FlowKey &flow);
-
 } // namespace hornbeam
--- /dev/null
+++ b/src/apps/flowpages.cpp
@@ -0,0 +1,109 @@
+#include "apps/flowpages.h"
+
+#include <array>
+#include <nlohmann/json.hpp>
+
+namespace hornbeam {
+
+namespace {
+using Json = nlohmann::ordered_json;
+
+constexpr size_t mostFlows = 2000; // of a page: about 0.5 MB, made in a few milliseconds
+
+std::string gauge(std::string_view name, double value)
+{
+    return "hornbeam_" + std::string(name) + " " + Json(value).dump() + "\n";
+}
+
+// -1 for never
+double ageSeconds(TimePoint since, TimePoint now)
+{
+    return since == TimePoint{} ? -1 : std::chrono::duration<double>(now - since).count();
+}
+
+std::string textOf(const Json &page)
+{
+    return page.dump(2, ' ', false, Json::error_handler_t::replace) + "\n";
+}
+}
+
+std::string flowGauges(const FlowForwarder &forwarder, bool isReady, TimePoint now)
+{
+    std::array<uint64_t, static_cast<size_t>(TargetPhase::Count)> phases{};
+    uint64_t silent = 0;
+    for (const TargetPtr &target : forwarder.targetDirectory().all()) {
+        ++phases[static_cast<size_t>(target->phase)];
+        silent += target->isSilent() && target->phase != TargetPhase::Departed ? 1 : 0;
+    }
+    std::string text = gauge("flow_ready", isReady ? 1 : 0);
+    text += gauge("flow_configuration_version", static_cast<double>(forwarder.routeTable().version()));
+    text += gauge("flow_configuration_age_seconds", ageSeconds(forwarder.configurationConfirmedAt(), now));
+    text += gauge("flow_targets_age_seconds", ageSeconds(forwarder.targetDirectory().confirmedAt(), now));
+    text += gauge("flow_routes", static_cast<double>(forwarder.routeTable().size()));
+    text += gauge("flow_flows_remembered", static_cast<double>(forwarder.flowCount()));
+    for (size_t i = 0; i < phases.size(); ++i) {
+        text += gauge("flow_targets{phase=\"" + std::string(nameOf(static_cast<TargetPhase>(i))) + "\"}", static_cast<double>(phases.at(i)));
+    }
+    text += gauge("flow_targets_silent", static_cast<double>(silent));
+    return text;
+}
+
+std::string targetsPage(const FlowForwarder &forwarder, TimePoint now)
+{
+    Json page = Json::array();
+    for (const TargetPtr &target : forwarder.targetDirectory().all()) {
+        page.push_back({ { "target", target->record.name },
+                         { "service", target->record.service },
+                         { "address", toString(target->record.address) },
+                         { "incarnation", target->record.incarnation },
+                         { "token", target->token },
+                         { "phase", nameOf(target->phase) },
+                         { "phase_age_s", ageSeconds(target->phaseSince, now) },
+                         { "silent_age_s", ageSeconds(target->silentSince, now) },
+                         { "progress_age_s", ageSeconds(target->lastProgress, now) },
+                         { "refused_age_s", ageSeconds(target->refusedAt, now) },
+                         { "failed_checks", target->failedChecks },
+                         { "open_flows", target->openFlows },
+                         { "slowness", target->slowness } });
+    }
+    return textOf(page);
+}
+
+std::string routesPage(const FlowForwarder &forwarder)
+{
+    Json routes = Json::array();
+    for (const Route &route : forwarder.routeTable().all()) {
+        Json shares = Json::array();
+        for (const RouteShare &share : route.shares) {
+            shares.push_back({ { "service", share.service }, { "weight", share.weight } });
+        }
+        routes.push_back({ { "route", route.name }, { "address", toString(route.address) }, { "kind", nameOf(route.kind) }, { "shares", std::move(shares) } });
+    }
+    return textOf({ { "version", forwarder.routeTable().version() }, { "routes", std::move(routes) } });
+}
+
+std::string flowsPage(const FlowForwarder &forwarder, TimePoint now)
+{
+    Json page = Json::array();
+    for (const FlowState &state : forwarder.recentFlows(mostFlows)) {
+        page.push_back({ { "flow", flowText(state.flow) },
+                         { "target", state.target == nullptr ? "" : state.target->record.name },
+                         { "kind", nameOf(state.kind) },
+                         { "age_s", ageSeconds(state.firstSeen, now) },
+                         { "last_seen_s", ageSeconds(state.lastSeen, now) },
+                         { "unanswered_s", ageSeconds(state.unansweredSince, now) },
+                         { "repeats", state.repeats },
+                         { "openings", state.openings },
+                         { "open", state.isOpen },
+                         { "closing", state.isClosing },
+                         { "reset", state.isReset } });
+    }
+    return textOf(page);
+}
+
+std::string flowText(const FlowKey &flow)
+{
+    return toString(flow.caller) + ">" + toString(flow.service);
+}
+
+} // namespace hornbeam
--- a/src/apps/hornbeamctl.cpp
+++ b/src/apps/hornbeamctl.cpp
@@ -3,10 +3,12 @@
 // Sections: arguments | verbs | main
 
 #include "apps/ctlcommands.h"
+#include "apps/flowexplain.h"
 #include "apps/tablecells.h"
 #include "store/httpget.h"
 
 #include <CLI/CLI.hpp>
+#include <array>
 #include <cstdlib>
 #include <fstream>
 #include <iostream>
@@ -31,7 +33,8 @@
   hornbeamctl drain booking b1 && hornbeamctl wait booking --timeout 15
   hornbeamctl show booking --csv > booking.csv
   hornbeamctl diff booking booking.csv
-  hornbeamctl apply booking booking.csv              (- reads the standard input))";
+  hornbeamctl apply booking booking.csv              (- reads the standard input)
+  hornbeamctl explain "10.0.0.7:40001>198.18.0.1:443" --from 10.1.0.10:9464)";
 
 //--- Arguments
 
@@ -48,6 +51,7 @@
     std::string expect;
     std::string file;
     std::string from;
+    std::string flow;
     std::vector<std::string> cells;
     uint32_t port = 0;
     uint64_t version = 0;
@@ -103,20 +107,52 @@
 
 //--- Verbs
 
-ExitCode runCounters(const Arguments &arguments)
+constexpr std::array<std::pair<std::string_view, const char *>, 4> instancePages{
+    { { "counters", "/metrics" }, { "targets", "/targets" }, { "routes", "/routes" }, { "flows", "/flows" } }
+};
+
+// a page of the instance at --from; says on standard error why there is none
+std::optional<std::string> readPage(const Arguments &arguments, const std::string &path, ExitCode &code)
 {
     constexpr Duration timeout = seconds(5);
     Endpoint endpoint;
     if (!parseEndpoint(arguments.from, endpoint)) {
         std::cerr << "--from " << arguments.from << " is not a.b.c.d:port\n";
-        return ExitCode::Usage;
+        code = ExitCode::Usage;
+        return std::nullopt;
     }
-    const std::optional<std::string> text = httpGet(endpoint, "/metrics", timeout);
+    const std::optional<std::string> text = httpGet(endpoint, path, timeout);
     if (!text.has_value()) {
-        std::cerr << "the instance at " << arguments.from << " gave no answer\n";
+        std::cerr << "the instance at " << arguments.from << " gave no answer for " << path << "\n";
+        code = ExitCode::Failed;
+    }
+    return text;
+}
+
+ExitCode runPage(const Arguments &arguments, const std::string &path)
+{
+    ExitCode code = ExitCode::Done;
+    const std::optional<std::string> text = readPage(arguments, path, code);
+    std::cout << text.value_or("");
+    return code;
+}
+
+// what an instance believes of one flow, of its route and of its target
+ExitCode runExplain(const Arguments &arguments)
+{
+    ExitCode code = ExitCode::Done;
+    const std::optional<std::string> flows = readPage(arguments, "/flows", code);
+    const std::optional<std::string> targets = flows.has_value() ? readPage(arguments, "/targets", code) : std::nullopt;
+    const std::optional<std::string> routes = targets.has_value() ? readPage(arguments, "/routes", code) : std::nullopt;
+    if (!routes.has_value()) {
+        return code;
+    }
+    const FlowExplanation explanation = explainFlow(arguments.flow, *flows, *targets, *routes);
+    if (!explanation.problem.empty()) {
+        std::cerr << explanation.problem << "\n";
         return ExitCode::Failed;
     }
-    std::cout << *text;
+    std::cout << (arguments.isJson ? explanation.json : explanation.text);
     return ExitCode::Done;
 }
 
@@ -159,8 +195,13 @@
 {
     constexpr Duration callTimeout = seconds(5);
     const std::string &name = verb.get_name();
-    if (name == "counters") {
-        return runCounters(arguments);
+    for (const auto &[page, path] : instancePages) {
+        if (name == page) {
+            return runPage(arguments, path);
+        }
+    }
+    if (name == "explain") {
+        return runExplain(arguments);
     }
     Endpoint endpoint;
     if (!parseEndpoint(arguments.platform, endpoint)) {
@@ -222,8 +263,19 @@
     wait->add_option("--version", arguments.version, "the version; the present one by default");
     wait->add_option("--timeout", arguments.timeoutSeconds, "in seconds")->capture_default_str();
     app.add_subcommand("status", "print each zone's members, the services that lag there, and the members that lag")->fallthrough();
-    CLI::App *counters = app.add_subcommand("counters", "print the counters of an instance");
-    counters->add_option("--from", arguments.from, "its address and metrics port as a.b.c.d:port")->required();
+    const auto addPageVerb = [&](const std::string &name, const std::string &text) {
+        CLI::App *verb = app.add_subcommand(name, text);
+        verb->fallthrough();
+        verb->add_option("--from", arguments.from, "its address and metrics port as a.b.c.d:port")->required();
+        return verb;
+    };
+    addPageVerb("counters", "print the counters of an instance");
+    addPageVerb("targets", "print the targets that an instance knows, as JSON");
+    addPageVerb("routes", "print the routes that an instance has in force, as JSON");
+    addPageVerb("flows", "print the flows that an instance saw last, as JSON");
+    addPageVerb("explain", "print what an instance believes of one flow, its route and its target")
+        ->add_option("flow", arguments.flow, "as the logs name it: CALLER:PORT>ADDRESS:PORT")
+        ->required();
 }
 }
 
--- a/src/flows/flowforwarder.cpp
+++ b/src/flows/flowforwarder.cpp
@@ -375,6 +375,16 @@
     return this->tracker.size();
 }
 
+std::vector<FlowState> FlowForwarder::recentFlows(size_t most) const
+{
+    return this->tracker.recent(most);
+}
+
+TimePoint FlowForwarder::configurationConfirmedAt() const
+{
+    return this->configurationConfirmed;
+}
+
 bool FlowForwarder::isConfigurationFresh() const
 {
     return this->clock.now() - this->configurationConfirmed < this->settings.freshness;
--- a/src/flows/flowforwarder.h
+++ b/src/flows/flowforwarder.h
@@ -93,6 +93,10 @@
     /** Times from a request to the first acknowledgement of its answer. */
     const Histogram &answerTimes() const;
     size_t flowCount() const;
+    /** The flows that were seen last, newest first, `most` at most. */
+    std::vector<FlowState> recentFlows(size_t most) const;
+    /** When the store last confirmed the configuration in force; TimePoint{} before. */
+    TimePoint configurationConfirmedAt() const;
 
 private:
     PacketDecision open(const FlowPacket &packet, FlowActions &out);
--- a/src/flows/flowtracker.cpp
+++ b/src/flows/flowtracker.cpp
@@ -178,6 +178,15 @@
     return this->flows.size();
 }
 
+std::vector<FlowState> FlowTracker::recent(size_t most) const
+{
+    std::vector<FlowState> found;
+    for (auto state = this->order.rbegin(); state != this->order.rend() && found.size() < most; ++state) {
+        found.push_back(*state);
+    }
+    return found;
+}
+
 void FlowTracker::drop(Order::iterator position)
 {
     if (countsAsOpen(*position)) {
--- a/src/flows/flowtracker.h
+++ b/src/flows/flowtracker.h
@@ -71,6 +71,8 @@
     /** All flows of a target. Valid until the next call that is not const. */
     std::vector<FlowState *> flowsOf(const TargetPtr &target);
     size_t size() const;
+    /** Copies of the flows that were seen last, newest first, `most` at most. */
+    std::vector<FlowState> recent(size_t most) const;
 
 private:
     using Order = std::list<FlowState>; // least recently seen first
--- a/src/flows/routetable.cpp
+++ b/src/flows/routetable.cpp
@@ -1,5 +1,6 @@
 #include "flows/routetable.h"
 
+#include <algorithm>
 #include <array>
 
 namespace hornbeam {
@@ -63,6 +64,16 @@
     return this->routes.size();
 }
 
+std::vector<Route> RouteTable::all() const
+{
+    std::vector<Route> found;
+    for (const auto &[address, route] : this->routes) {
+        found.push_back(route);
+    }
+    std::sort(found.begin(), found.end(), [](const Route &a, const Route &b) { return a.name < b.name; });
+    return found;
+}
+
 const std::string *RouteTable::serviceOf(const Route &route, const FlowKey &flow)
 {
     uint64_t total = 0;
--- a/src/flows/routetable.h
+++ b/src/flows/routetable.h
@@ -68,6 +68,8 @@
     bool isDropped(const Endpoint &address) const;
     Duration idleTimeout() const;
     size_t size() const;
+    /** The routes in force, in the order of their names. */
+    std::vector<Route> all() const;
 
     /** The service that a flow of a route belongs to: the same at each instance, spread over the shares by weight. */
     static const std::string *serviceOf(const Route &route, const FlowKey &flow);
--- /dev/null
+++ b/tests/flowpages_test.cpp
@@ -0,0 +1,73 @@
+// Stories of an engineer who asks one instance about one flow.
+
+#include "apps/flowexplain.h"
+#include "apps/flowpages.h"
+#include "flowfakes.h"
+
+#include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
+
+using namespace hornbeam;
+using Catch::Matchers::Contains;
+
+TEST_CASE("an instance shows what it believes")
+{
+    FlowBench bench;
+    bench.load({ makeTarget("b1"), makeTarget("b2") }, 7);
+    const PacketDecision opened = bench.establish(1);
+    const auto explain = [&bench](const std::string &flow) {
+        const TimePoint now = bench.clock.now();
+        return explainFlow(flow, flowsPage(bench.forwarder, now), targetsPage(bench.forwarder, now), routesPage(bench.forwarder));
+    };
+    const std::string flow = flowText(FlowBench::flow(1));
+
+    SECTION("gauges tell the version in force, the age of each belief and the targets by phase")
+    {
+        bench.clock.advance(seconds(2));
+        bench.list({ makeTarget("b1") });
+        const std::string text = flowGauges(bench.forwarder, true, bench.clock.now());
+        CHECK_THAT(text, Contains("hornbeam_flow_configuration_version 7"));
+        CHECK_THAT(text, Contains("hornbeam_flow_configuration_age_seconds 2.00"));
+        CHECK_THAT(text, Contains("hornbeam_flow_targets_age_seconds 0.0"));
+        CHECK_THAT(text, Contains("hornbeam_flow_targets{phase=\"ready\"} 1.0"));
+        CHECK_THAT(text, Contains("hornbeam_flow_targets{phase=\"missing\"} 1.0"));
+    }
+    SECTION("a flow is explained by its state, its route and its target")
+    {
+        const FlowExplanation explanation = explain(flow);
+        CHECK(explanation.problem.empty());
+        CHECK_THAT(explanation.text, Contains("route, version 7"));
+        CHECK_THAT(explanation.text, Contains("target " + opened.target->record.name));
+        CHECK_THAT(explanation.text, Contains("can take a new flow of the route: 2"));
+        CHECK(nlohmann::json::parse(explanation.json)["usable_targets"].size() == 2);
+    }
+    SECTION("a silent target is named as such and takes no new flow")
+    {
+        bench.send(1, opened.token, 1001, 5000, 10);
+        bench.run(milliseconds(100));
+        bench.endChecks(CheckOutcome::Refused, opened.target->record.name == "b1" ? "b2" : "b1");
+        const FlowExplanation explanation = explain(flow);
+        CHECK_THAT(explanation.text, Contains("can take a new flow of the route: 1"));
+        CHECK_THAT(explanation.text, Contains("reset true"));
+    }
+    SECTION("a flow that was not seen, and an address without a route, are said to be so")
+    {
+        const FlowExplanation explanation = explain("10.0.0.1:5>198.18.9.9:1");
+        CHECK_THAT(explanation.text, Contains("has not seen the flow"));
+        CHECK_THAT(explanation.text, Contains("no route has its address in version 7"));
+    }
+    SECTION("what is no flow is a clear error")
+    {
+        CHECK_THAT(explain("nonsense").problem, Contains("nonsense is not a flow"));
+        CHECK_THAT(explainFlow(flow, "{", "", "").problem, Contains("can't be read"));
+    }
+    SECTION("the page of flows is bounded and begins with the newest")
+    {
+        for (uint16_t port = 10; port < 2500; ++port) {
+            bench.open(port);
+        }
+        const nlohmann::json page = nlohmann::json::parse(flowsPage(bench.forwarder, bench.clock.now()));
+        CHECK(page.size() == 2000);
+        CHECK(page[0]["flow"] == flowText(FlowBench::flow(2499)));
+    }
+}
