Store: the pause between two answers is the bound less 2 s; stories of silent connections; the soak loses a target's writes

Ruled out: a longer wait within a call, since an answer lost on a living connection must be noticed within the stability window.

--- a/soak/plan.cpp
+++ b/soak/plan.cpp
@@ -18,7 +18,7 @@
     constexpr std::array<std::string_view, static_cast<size_t>(StepKind::Count)> names{
         "restart_instance", "roll_instances", "reload_settings", "replace_target", "add_route",     "drop_route", "change_storm",
         "kill_instance",    "kill_half",      "pause_instance",  "crash_target",   "freeze_target", "cut_link",   "silence_store",
-        "reset_store",      "delay_store",    "cut_store",       "lapse_entry",    "pause_store"
+        "reset_store",      "delay_store",    "cut_store",       "lapse_entry",    "lose_writes",   "pause_store"
     };
     return names[static_cast<size_t>(kind)];
 }
--- a/soak/plan.h
+++ b/soak/plan.h
@@ -31,6 +31,7 @@
     DelayStore,   // for all instances
     CutStore,     // from all instances
     LapseEntry,   // of a living target, while the store is cut from all instances
+    LoseWrites,   // of a living target, until its entry lapses
     PauseStore,   // the process of the store stands still
     Count,
 };
--- a/soak/run.cpp
+++ b/soak/run.cpp
@@ -352,6 +352,7 @@
         case StepKind::CrashTarget:
         case StepKind::FreezeTarget:
         case StepKind::LapseEntry:
+        case StepKind::LoseWrites:
             this->beginTargetStep(step);
             break;
         case StepKind::KillInstance:
@@ -476,8 +477,12 @@
             this->disturb(this->storeLife, step.lasts);
             this->setProxies(this->allInstances(), ProxyMode::Reset, step.lasts);
             this->unlist(target, false);
-            const Duration absence = step.subject % 2 == 0 ? shortAbsence : longAbsence;
-            this->later(step.lasts + absence, [this, &target] { this->list(target); });
+            this->later(step.lasts + shortAbsence, [this, &target] { this->list(target); });
+            return;
+        }
+        if (step.kind == StepKind::LoseWrites) {
+            this->unlist(target, false);
+            this->later(longAbsence, [this, &target] { this->list(target); });
             return;
         }
         this->crashTarget(target, zone);
--- a/src/apps/flowdaemon.cpp
+++ b/src/apps/flowdaemon.cpp
@@ -31,6 +31,7 @@
 constexpr milliseconds startPatience(1000); // packets wait this long for the first answers of the store; callers give up after 0.8 s or more
 constexpr milliseconds pauseBound(500);     // a later tick means that this process stood still
 constexpr milliseconds storeSilence(1000);  // of the store before the end of an answer: 4 ms is usual, 0.4 s when it is slow
+constexpr milliseconds changeMargin(2000);  // of a bound, for a failed call, its repeat and a large answer over a slow link
 constexpr milliseconds watchMargin(500);    // for the call that follows a lost one
 constexpr uint64_t timedShare = 16;         // reading the clock twice costs about as much as forwarding
 constexpr const char *readinessPath = "/ready";
@@ -41,7 +42,7 @@
     WatcherSettings settings;
     settings.watchTimeout = flows.stability - storeSilence - watchMargin; // a lost answer is noticed before what it told must be in force
     settings.shortTimeout = milliseconds(500);                            // while a target is missing
-    settings.pause = bound * 2 / 5;                                       // changes of a release come in groups; leaves time for a failed call and a second one
+    settings.pause = bound - changeMargin;                                // changes of a release come in groups
     settings.firstBackoff = milliseconds(200);
     settings.maxBackoff = seconds(1);
     return settings;
--- a/src/apps/settings.cpp
+++ b/src/apps/settings.cpp
@@ -158,8 +158,8 @@
         bound = milliseconds(number);
     };
     readBound("target_heartbeat_ms", 100, settings.flows->targetHeartbeat);
-    readBound("drain_bound_ms", 1000, settings.flows->drainBound);
-    readBound("change_bound_ms", 1000, settings.flows->changeBound);
+    readBound("drain_bound_ms", 2500, settings.flows->drainBound);
+    readBound("change_bound_ms", 2500, settings.flows->changeBound);
     readBound("stability_ms", 2000, settings.flows->stability);
     settings.flows->parts.entryLapse = heartbeatsToLapse * settings.flows->targetHeartbeat + lapseLag;
     readFlowTunables(part, settings.flows->parts);
--- a/tests/settings_test.cpp
+++ b/tests/settings_test.cpp
@@ -113,6 +113,37 @@
     }
 }
 
+TEST_CASE("settings of flows are checked whole")
+{
+    nlohmann::json object{ { "name", "i1" }, { "zone", "z1" }, { "address", "127.0.0.1" }, { "platform", "127.0.0.1:8080" } };
+    object["flows"] = { { "packet_address", "127.0.0.1:7000" }, { "readiness_address", "127.0.0.1:8081" } };
+
+    SECTION("bounds have defaults, and what follows from them is printed")
+    {
+        const CheckedSettings checked = parseSettings(object.dump());
+        REQUIRE(checked.faults.empty());
+        CHECK(checked.settings->flows->drainBound == seconds(3));
+        CHECK(checked.settings->flows->parts.entryLapse == milliseconds(4100));
+        const CheckedSettings again = parseSettings(writeSettings(*checked.settings));
+        REQUIRE(again.faults.empty());
+        CHECK(again.settings->flows->stability == seconds(4));
+    }
+    SECTION("the time until an entry lapses follows the heartbeat")
+    {
+        object["flows"]["target_heartbeat_ms"] = 770;
+        CHECK(parseSettings(object.dump()).settings->flows->parts.entryLapse == milliseconds(2810));
+        object["flows"]["entry_lapse_ms"] = 5000;
+        CHECK(parseSettings(object.dump()).settings->flows->parts.entryLapse == seconds(5));
+    }
+    SECTION("bounds that leave no time for a call are faults, all told at once")
+    {
+        object["flows"]["stability_ms"] = 1000;
+        object["flows"]["drain_bound_ms"] = 2000;
+        object["flows"]["change_bound_ms"] = "soon";
+        CHECK(parseSettings(object.dump()).faults.size() == 3);
+    }
+}
+
 TEST_CASE("keys are read from files and never shown")
 {
     const TemporaryFile hex("000102030405060708090a0b0c0d0e0F\n");
--- /dev/null
+++ b/tests/storesilence_test.cpp
@@ -0,0 +1,99 @@
+// Stories of a store whose connections go silent or slow, against a server of this process.
+
+#include "platform/platformclient.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
+#include <catch2/catch.hpp>
+#include <optional>
+#include <thread>
+
+using namespace hornbeam;
+using tcp = boost::asio::ip::tcp;
+
+namespace {
+
+/** Answers one call with given pieces, with a pause before each. Keeps the connection open after the last until it is destroyed. */
+class SlowStore
+{
+public:
+    SlowStore(std::vector<std::string> pieces, milliseconds pause)
+        : acceptor(this->context, { boost::asio::ip::address_v4::loopback(), 0 }), server([this, pieces = std::move(pieces), pause] {
+            this->acceptor.accept(this->socket);
+            for (const std::string &piece : pieces) {
+                std::this_thread::sleep_for(pause);
+                boost::system::error_code ignored; // the client may have given up
+                boost::asio::write(this->socket, boost::asio::buffer(piece), ignored);
+            }
+        })
+    {
+    }
+    ~SlowStore()
+    {
+        this->server.join();
+    }
+    Endpoint endpoint() const
+    {
+        return { boost::asio::ip::address_v4::loopback().to_uint(), this->acceptor.local_endpoint().port() };
+    }
+
+private:
+    boost::asio::io_context context;
+    tcp::acceptor acceptor;
+    tcp::socket socket{ this->context };
+    std::thread server;
+};
+
+struct Watched
+{
+    PlatformReply reply;
+    Duration took{ 0 };
+};
+
+Watched watch(const SlowStore &store, Duration wait, Duration silence)
+{
+    boost::asio::io_context context;
+    Counters counters;
+    PlatformClient client(context, counters, PlatformSettings{ store.endpoint(), silence });
+    const SystemClock clock;
+    const TimePoint begun = clock.now();
+    Watched watched;
+    client.watch("config/", 1, wait, [&](PlatformReply reply) {
+        watched.reply = std::move(reply);
+        watched.took = clock.now() - begun;
+    });
+    context.run();
+    return watched;
+}
+
+}
+
+TEST_CASE("silent connection to the store: noticed soon after the answer was due, and a slow answer is no silence")
+{
+    const std::string head = "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: 28\r\n\r\n";
+
+    SECTION("an answer that never begins ends the call after its wait and the longest silence")
+    {
+        const SlowStore store({}, milliseconds(0));
+        const Watched watched = watch(store, milliseconds(200), milliseconds(100));
+        CHECK(watched.reply.outcome == PlatformOutcome::Unavailable);
+        CHECK(watched.took >= milliseconds(290));
+        CHECK(watched.took < milliseconds(1000));
+    }
+    SECTION("an answer that stops midway ends the call after the longest silence, not after another wait")
+    {
+        const SlowStore store({ head, "{\"events\":" }, milliseconds(10));
+        const Watched watched = watch(store, seconds(5), milliseconds(100));
+        CHECK(watched.reply.outcome == PlatformOutcome::Unavailable);
+        CHECK(watched.took < seconds(2));
+    }
+    SECTION("an answer in pieces over a slow link takes as long as it needs")
+    {
+        const SlowStore store({ head, "{\"events\"", ":[],", "\"current", "Rev\"", ":7}" }, milliseconds(60));
+        const Watched watched = watch(store, milliseconds(0), milliseconds(150));
+        CHECK(watched.reply.isOk());
+        CHECK(watched.reply.revision == 7);
+        CHECK(watched.took > milliseconds(200));
+    }
+}
