--- a/soak/callers.cpp
+++ b/soak/callers.cpp
@@ -176,7 +176,7 @@
         flow.isWaiting = false;
         flow.acknowledged += answerBytes;
         ++flow.requestsDone;
-        --flow.requestsLeft;
+        flow.requestsLeft = answer.isLast ? 0 : flow.requestsLeft - 1;
         ++this->answered;
         constexpr int longestPauseMs = 600;
         flow.nextRequest = this->clock.now() + milliseconds(this->random() % longestPauseMs);
--- a/soak/faultsmain.cpp
+++ b/soak/faultsmain.cpp
@@ -11,7 +11,7 @@
 using namespace hornbeam::soak;
 using hornbeam::seconds;
 
-constexpr seconds calmEnd(7); // after the last step: the stability window and some requests
+constexpr seconds calmEnd(10); // after the last fault: the stability window, a drain and an edit with their bounds
 
 struct Options
 {
@@ -19,7 +19,7 @@
     std::string seedFile;
     std::string binaries = "build";
     uint32_t fresh = 0;
-    uint32_t lengthSeconds = 25;
+    uint32_t lengthSeconds = 28;
     size_t instances = 6;
     bool isShrinking = false;
 };
@@ -99,7 +99,7 @@
     app.add_option("--seeds", options.seeds, "seeds to play");
     app.add_option("--seed-file", options.seedFile, "file of seeds that once failed")->check(CLI::ExistingFile);
     app.add_option("--fresh", options.fresh, "further seeds, drawn now")->capture_default_str();
-    app.add_option("--length", options.lengthSeconds, "seconds of traffic of a run")->check(CLI::Range(12, 600))->capture_default_str();
+    app.add_option("--length", options.lengthSeconds, "seconds of traffic of a run")->check(CLI::Range(14, 600))->capture_default_str();
     app.add_option("--instances", options.instances, "balancers")->check(CLI::Range(2, 200))->capture_default_str();
     app.add_option("--binaries", options.binaries, "folder of hornbeamd and standins-platform")->check(CLI::ExistingDirectory)->capture_default_str();
     app.add_flag("--shrink", options.isShrinking, "look for a smaller schedule that still fails");
--- a/soak/findings.h
+++ b/soak/findings.h
@@ -15,7 +15,7 @@
 constexpr seconds drainBound(3);  // from the store's acknowledgement of a draining target to its last new flow
 constexpr seconds changeBound(3); // from the store's acknowledgement of a configuration to its being in force
 constexpr seconds graceBound(6);  // from SIGTERM to the end of a process
-constexpr size_t memoryBoundKb = 256 * 1024;
+constexpr size_t memoryBoundKb = size_t{ 256 } * 1024;
 
 /** A span of disturbance of one part. Spans may overlap. */
 class Disturbance
--- a/soak/plan.cpp
+++ b/soak/plan.cpp
@@ -34,7 +34,10 @@
     const auto between = [&random](milliseconds low, milliseconds high) {
         return milliseconds(std::uniform_int_distribution<int64_t>(low.count(), high.count())(random));
     };
-    Plan plan;
+    // in each run an edit has to come into force and a target has to leave while nothing is disturbed
+    Plan plan{ { milliseconds(500), StepKind::AddRoute, 0, Duration{ 0 } } };
+    const Step lastRelease{ length - calm, StepKind::ReplaceTarget, static_cast<uint32_t>(random()), Duration{ 0 } };
+    const Step lastEdit{ length - calm, StepKind::AddRoute, static_cast<uint32_t>(random()), Duration{ 0 } };
     Duration at = seconds(1);
     while (true) {
         Step step;
@@ -44,6 +47,8 @@
         step.lasts = between(shortestFault, longestFault);
         at += between(shortestGap, longestGap);
         if (step.at + step.lasts > length - calm) {
+            plan.push_back(lastRelease);
+            plan.push_back(lastEdit);
             return plan;
         }
         plan.push_back(step);
--- a/soak/process.cpp
+++ b/soak/process.cpp
@@ -12,6 +12,7 @@
 {
     std::vector<std::string> words = arguments;
     std::vector<char *> pointers;
+    pointers.reserve(words.size() + 1);
     for (std::string &word : words) {
         pointers.push_back(word.data());
     }
--- a/soak/run.cpp
+++ b/soak/run.cpp
@@ -9,6 +9,7 @@
 #include "platform/platformcodec.h"
 
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
@@ -35,7 +36,7 @@
 constexpr milliseconds rollGap(700);
 constexpr milliseconds stormGap(330);
 constexpr int stormChanges = 5;
-constexpr milliseconds leaveAfter(4000); // a drained target stays for the drain bound and a little longer
+constexpr milliseconds leaveAfter(8000); // a drained target stays for the drain bound and, at times, for seconds more
 
 struct RouteLife
 {
@@ -56,6 +57,7 @@
         , targets(this->context, this->clock, this->findings, this->targetHooks())
         , callers(this->clock, this->findings, this->targets, this->callerHooks(), settings.seed)
         , timer(this->context)
+        , signals(this->context, SIGINT, SIGTERM)
         , random(settings.seed)
     {
     }
@@ -64,6 +66,12 @@
     {
         this->setUp();
         this->findings.start = this->clock.now();
+        this->signals.async_wait([this](const error_code &error, int) {
+            if (!error) {
+                this->findings.add(this->clock.now(), "the soak was interrupted");
+                this->context.stop(); // its processes are ended below
+            }
+        });
         this->tick();
         this->context.run();
         this->instances->stopAll();
@@ -558,6 +566,7 @@
     Callers callers;
     std::vector<std::unique_ptr<CallerSocket>> callerSockets;
     boost::asio::steady_timer timer;
+    boost::asio::signal_set signals;
     std::minstd_rand random;
     std::deque<RouteLife> routes; // also dropped ones
     std::set<std::string> dropping;
--- a/soak/run.h
+++ b/soak/run.h
@@ -12,7 +12,7 @@
 {
     uint64_t seed = 1;
     Plan plan;
-    Duration length = seconds(25); // of traffic
+    Duration length = seconds(28); // of traffic
     size_t instances = 6;
     std::string binaries; // folder of hornbeamd and of the store's stand-in
     std::filesystem::path dir;
--- a/soak/targets.cpp
+++ b/soak/targets.cpp
@@ -192,9 +192,11 @@
         flow.expected += requestBytes;
     }
     const uint32_t number = (packet.sequence - flow.callerSequence - 1) / requestBytes;
-    this->send(isNew ? workTime : Duration(oneWay),
-               { packet.flow, packet.token, static_cast<uint32_t>(flow.sequence + 1 + number * answerBytes), packet.sequence + packet.contentBytes,
-                 target.record.name, false, false, true });
+    Answer answer{ packet.flow, packet.token, 0, packet.sequence + packet.contentBytes, target.record.name };
+    answer.sequence = static_cast<uint32_t>(flow.sequence + 1 + number * answerBytes);
+    answer.hasContent = true;
+    answer.isLast = target.record.isDraining;
+    this->send(isNew ? workTime : Duration(oneWay), std::move(answer));
 }
 
 //--- Answers
--- a/soak/targets.h
+++ b/soak/targets.h
@@ -32,6 +32,7 @@
     bool isOpening = false;
     bool isReset = false;
     bool hasContent = false;
+    bool isLast = false; // the target drains: it closes each flow after its next answer
 };
 
 struct SoakTarget
--- a/src/apps/hornbeamctl.cpp
+++ b/src/apps/hornbeamctl.cpp
@@ -121,7 +121,7 @@
         code = ExitCode::Usage;
         return std::nullopt;
     }
-    const std::optional<std::string> text = httpGet(endpoint, path, timeout);
+    std::optional<std::string> text = httpGet(endpoint, path, timeout);
     if (!text.has_value()) {
         std::cerr << "the instance at " << arguments.from << " gave no answer for " << path << "\n";
         code = ExitCode::Failed;
--- a/standins/flowwire.cpp
+++ b/standins/flowwire.cpp
@@ -11,10 +11,8 @@
 namespace {
 using nlohmann::json;
 
-constexpr size_t flagsAt = 2;
 constexpr size_t paddingAt = 3;
 constexpr size_t checksumAt = 4;
-constexpr size_t tokenAt = 8;
 constexpr uint8_t openingFlag = 4;
 constexpr uint8_t acknowledgingFlag = 1;
 constexpr uint8_t closingFlag = 64;
