A configuration counts as fresh as long as its reading takes

Change: waits, pauses and freshness are derived in one place, storereading, with a story that holds them against the bounds.

--- a/src/apps/flowdaemon.cpp
+++ b/src/apps/flowdaemon.cpp
@@ -4,6 +4,7 @@
 
 #include "apps/flowlog.h"
 #include "apps/flowpages.h"
+#include "apps/storereading.h"
 #include "flows/flowforwarder.h"
 #include "platform/flowobjects.h"
 #include "platform/packethead.h"
@@ -30,29 +31,14 @@
 constexpr milliseconds stopLinger(1800);    // routers notice within 2 probes of 500 ms each that no packets may come
 constexpr milliseconds startPatience(1000); // packets wait this long for the first answers of the store; callers give up after 0.8 s or more
 constexpr milliseconds pauseBound(500);     // a later tick means that this process stood still
-constexpr milliseconds storeSilence(1000);  // of the store before the end of an answer: 4 ms is usual, 0.4 s when it is slow
-constexpr milliseconds changeMargin(2000);  // of a bound, for a failed call, its repeat and a large answer over a slow link
-constexpr milliseconds watchMargin(500);    // for the call that follows a lost one
 constexpr uint64_t timedShare = 16;         // reading the clock twice costs about as much as forwarding
 constexpr const char *readinessPath = "/ready";
 
-// `bound`: within it a change of the store's objects must be acted upon
-WatcherSettings watcherSettings(const FlowServiceSettings &flows, Duration bound)
-{
-    WatcherSettings settings;
-    settings.watchTimeout = flows.stability - storeSilence - watchMargin; // a lost answer is noticed before what it told must be in force
-    settings.shortTimeout = milliseconds(500);                            // while a target is missing
-    settings.pause = bound - changeMargin;                                // changes of a release come in groups
-    settings.firstBackoff = milliseconds(200);
-    settings.maxBackoff = seconds(1);
-    return settings;
-}
-
 PlatformSettings storeSettings(const DaemonSettings &settings)
 {
     PlatformSettings store;
     store.endpoint = settings.platform;
-    store.callTimeout = storeSilence;
+    store.callTimeout = storeReadingOf(*settings.flows).silence;
     return store;
 }
 
@@ -80,17 +66,17 @@
         , log(STDOUT_FILENO, this->clock)
         , flowLog(this->log, this->clock)
         , seed(std::random_device()())
-        , forwarder(settings.flows->parts, zoneIdOf(settings.zone), this->seed, this->clock, this->flowLog)
+        , forwarder(withFreshness(*settings.flows), zoneIdOf(settings.zone), this->seed, this->clock, this->flowLog)
         , packets(this->context, settings.flows->packets, false)
         , readiness(this->context, settings.flows->readiness)
         , metrics(this->context, Endpoint{ settings.address, settings.metricsPort })
         , client(this->context, this->storeCounters, storeSettings(settings))
         , targets(
               this->client, this->clock, this->seed, std::string(targetPrefix), [this](const ObjectsRead &read) { this->onTargets(read); },
-              watcherSettings(*settings.flows, settings.flows->drainBound))
+              storeReadingOf(*settings.flows).targets)
         , configurations(
               this->client, this->clock, this->seed + 1, std::string(configurationPrefix), [this](const ObjectsRead &read) { this->onConfigurations(read); },
-              watcherSettings(*settings.flows, settings.flows->changeBound))
+              storeReadingOf(*settings.flows).configurations)
         , signals(this->context, SIGTERM, SIGINT)
         , reloadSignal(this->context, SIGHUP)
         , tickTimer(this->context)
--- /dev/null
+++ b/src/apps/storereading.h
@@ -0,0 +1,23 @@
+#pragma once
+
+// How an instance that forwards flows reads the store, so that it keeps the bounds of its deployment.
+
+#include "apps/settings.h"
+#include "store/objectwatcher.h"
+
+namespace hornbeam {
+
+struct StoreReading
+{
+    WatcherSettings targets;
+    WatcherSettings configurations;
+    Duration silence{ 0 };   // of the store within an answer, before the call is given up
+    Duration freshness{ 0 }; // longest time between two confirmations of the configuration while all calls succeed
+};
+
+/** Derives waits and pauses from the bounds. Thread safe. */
+StoreReading storeReadingOf(const FlowServiceSettings &flows);
+/** The tunables of the forwarding; a configuration counts as fresh at least as long as its reading takes. Thread safe. */
+FlowSettings withFreshness(const FlowServiceSettings &flows);
+
+} // namespace hornbeam
--- a/tests/settings_test.cpp
+++ b/tests/settings_test.cpp
@@ -1,4 +1,5 @@
 #include "apps/settings.h"
+#include "apps/storereading.h"
 
 #include <algorithm>
 #include <catch2/catch.hpp>
@@ -144,6 +145,27 @@
     }
 }
 
+TEST_CASE("the store is read so that the bounds of a deployment are kept")
+{
+    FlowServiceSettings flows;
+    SECTION("a small deployment")
+    {
+    }
+    SECTION("a grown one with longer bounds")
+    {
+        flows.drainBound = seconds(5);
+        flows.changeBound = seconds(5);
+        flows.stability = seconds(5);
+    }
+    const StoreReading reading = storeReadingOf(flows);
+    const Duration failure = reading.silence + reading.targets.firstBackoff; // a call that is given up, and the wait before the next
+    CHECK(reading.targets.pause + failure < flows.drainBound);
+    CHECK(reading.configurations.pause + failure < flows.changeBound);
+    CHECK(reading.configurations.watchTimeout + reading.silence < flows.stability);
+    // while all calls succeed, a caller without a route is refused at once and not left without an answer
+    CHECK(withFreshness(flows).freshness >= reading.configurations.pause + reading.configurations.watchTimeout);
+}
+
 TEST_CASE("keys are read from files and never shown")
 {
     const TemporaryFile hex("000102030405060708090a0b0c0d0e0F\n");
