--- a/src/flows/flowforwarder.cpp
+++ b/src/flows/flowforwarder.cpp
@@ -209,7 +209,7 @@
         const TargetPtr &target = change.target;
         if (change.isNew) {
             if (target->isSilent()) {
-                this->recheck(target); // its entry was away for a while
+                this->addRecheck(target); // its entry was away for a while
             }
         } else if (target->phase == TargetPhase::Departed) {
             this->resetFlows(target, ResetReason::TargetDeparted, out);
@@ -233,10 +233,10 @@
         this->report(this->directory.depart(target, now), out);
     } else if (verdict == HealthVerdict::Silent) {
         this->resetFlows(target, ResetReason::TargetSilent, out);
-        this->recheck(target);
+        this->addRecheck(target);
         this->checkOthers(*target, out);
     } else if (verdict == HealthVerdict::CheckLater) {
-        this->recheck(target);
+        this->addRecheck(target);
     } else if (verdict == HealthVerdict::StillSilent) {
         this->resetFlows(target, ResetReason::TargetSilent, out); // those that came during the check
     } else if (verdict == HealthVerdict::CheckAgain) {
@@ -326,7 +326,7 @@
     }
 }
 
-void FlowForwarder::recheck(const TargetPtr &target)
+void FlowForwarder::addRecheck(const TargetPtr &target)
 {
     if (std::find(this->rechecks.begin(), this->rechecks.end(), target) == this->rechecks.end()) {
         this->rechecks.push_back(target);
--- a/src/flows/flowforwarder.h
+++ b/src/flows/flowforwarder.h
@@ -109,7 +109,7 @@
     void resetFlows(const TargetPtr &target, ResetReason reason, FlowActions &out);
     void checkOthers(const Target &failed, FlowActions &out);
     void checkReference(const TargetPtr &suspect, FlowActions &out);
-    void recheck(const TargetPtr &target);
+    void addRecheck(const TargetPtr &target);
     void beginCheck(const TargetPtr &target, FlowActions &out);
     void report(const std::vector<TargetChange> &changes, FlowActions &out);
     bool isConfigurationFresh() const;
--- a/src/flows/passivehealth.cpp
+++ b/src/flows/passivehealth.cpp
@@ -60,7 +60,7 @@
     this->counters.add(FlowCounter::ChecksFailed);
     ++target.failedChecks;
     target.isReconnected = false;
-    if (outcome == CheckOutcome::Refused && this->mayBeEnding(target, now)) {
+    if (outcome == CheckOutcome::Refused && this->grantEndingPatience(target, now)) {
         return HealthVerdict::CheckLater;
     }
     if (outcome == CheckOutcome::Refused) {
@@ -89,7 +89,8 @@
 }
 
 // A target that leaves as planned accepts no more connections while it sends its last answers.
-bool PassiveHealth::mayBeEnding(Target &target, TimePoint now) const
+// Returns whether it is given the time for that, which begins with its first refusal after an answer.
+bool PassiveHealth::grantEndingPatience(Target &target, TimePoint now) const
 {
     if (target.phase != TargetPhase::Draining || target.isSilent()) {
         return false;
--- a/src/flows/passivehealth.h
+++ b/src/flows/passivehealth.h
@@ -24,10 +24,10 @@
 /** What a check's outcome means for its target. */
 enum class HealthVerdict : uint8_t {
     Unchanged,
-    CheckAgain, // one check that timed out is no proof
-    Silent,     // the target has just become silent
-    StillSilent,
-    CheckLater, // a draining target refuses connections while it sends its last answers
+    CheckAgain,  // one check that timed out is no proof
+    Silent,      // the target has just become silent
+    StillSilent, // and flows may have come during the check
+    CheckLater,  // a draining target refuses connections while it sends its last answers
 };
 
 /** Not thread safe: one event loop owns it. */
@@ -50,7 +50,7 @@
     HealthVerdict endCheck(Target &target, CheckOutcome outcome, TimePoint listed, TimePoint now);
 
 private:
-    bool mayBeEnding(Target &target, TimePoint now) const;
+    bool grantEndingPatience(Target &target, TimePoint now) const;
     void endPassed(Target &target, TimePoint listed, TimePoint now);
 
     const FlowSettings &settings;
