--- a/src/apps/daemon.cpp
+++ b/src/apps/daemon.cpp
@@ -4,13 +4,11 @@
 
 #include "metricspage.h"
 #include "node/node.h"
-#include "peer/codec.h"
-#include "peer/seal.h"
+#include "peerlink.h"
 #include "platformloop.h"
 #include "servicesockets.h"
 #include "statelog.h"
 #include "transport/metricsserver.h"
-#include "transport/streams.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
@@ -42,11 +40,6 @@
     return self;
 }
 
-bool isRelay(const PeerMessage &message)
-{
-    return std::holds_alternative<Relay>(message);
-}
-
 } // namespace
 
 class Daemon::Impl
@@ -54,17 +47,13 @@
 public:
     Impl(const DaemonSettings &settings, const std::vector<Bytes> &keys)
         : settings(settings)
-        , sealer(keys)
         , node(settings.parts, selfRecord(settings, this->clock), keys, this->clock, this->counters, std::random_device()())
         , context(static_cast<int>(settings.workers))
         , services(this->context, settings.address, settings.workers,
                    [this](ServiceId service, const Endpoint &caller, const uint8_t *data, size_t size) { this->onCallerPacket(service, caller, data, size); })
-        , streamServer(this->context, peerEndpoint(settings), StreamServerSettings{}, this->sealer, this->counters,
-                       [this](const PeerMessage &message) {
-                           this->counters.add(Counter::StreamMessages);
-                           this->onPeerMessage(message);
-                       })
-        , streamClient(this->context, StreamClientSettings{}, this->sealer, this->counters)
+        , peers(
+              this->context, peerEndpoint(settings), settings.workers, keys, this->counters,
+              [this](const PeerMessage &message) { this->onPeerMessage(message); }, [this](MemberId member) { return this->node.endpointOf(member); })
         , metrics(this->context, Endpoint{ settings.address, settings.metricsPort })
         , signals(this->context, SIGTERM, SIGINT)
         , tickTimer(this->context)
@@ -107,9 +96,8 @@
 
     bool open()
     {
-        bool good = this->openSockets(this->peerSockets, peerEndpoint(this->settings));
-        good = good && this->openSockets(this->targetSockets, Endpoint{ this->settings.address, 0 });
-        for (const std::string &error : { this->streamServer.error(), this->metrics.error() }) {
+        bool good = this->openTargetSockets(Endpoint{ this->settings.address, 0 });
+        for (const std::string &error : { this->peers.error(), this->metrics.error() }) {
             if (!error.empty()) {
                 LOG(ERROR) << error;
                 good = false;
@@ -118,13 +106,10 @@
         if (!good) {
             return false;
         }
-        for (const auto &socket : this->peerSockets) {
-            socket->beginReceive([this](const Endpoint &, const uint8_t *data, size_t size) { this->onPeerDatagram(data, size); });
-        }
         for (const auto &socket : this->targetSockets) {
             socket->beginReceive([this](const Endpoint &from, const uint8_t *data, size_t size) { this->onTargetPacket(from, data, size); });
         }
-        this->streamServer.beginAccept();
+        this->peers.beginReceive();
         this->metrics.addPage("/metrics", [this] { return metricsPage(this->node, this->counters, this->platform.isReachable()); });
         this->metrics.addPage("/state", [this] { return this->node.dump(); });
         this->metrics.beginAccept();
@@ -132,7 +117,7 @@
     }
 
     /** Opens a socket for each worker on one address; the first one finds the port when it is 0. */
-    bool openSockets(std::vector<std::unique_ptr<UdpSocket>> &sockets, Endpoint local)
+    bool openTargetSockets(Endpoint local)
     {
         for (size_t i = 0; i < this->settings.workers; ++i) {
             auto socket = std::make_unique<UdpSocket>(this->context, local, true);
@@ -141,7 +126,7 @@
                 return false;
             }
             local.port = socket->local().port;
-            sockets.push_back(std::move(socket));
+            this->targetSockets.push_back(std::move(socket));
         }
         return true;
     }
@@ -162,18 +147,6 @@
         this->perform(out);
     }
 
-    void onPeerDatagram(const uint8_t *data, size_t size)
-    {
-        this->counters.add(Counter::PacketsFromPeers);
-        const auto body = this->sealer.open(data, size);
-        const auto message = body ? decodeMessage(*body) : std::nullopt;
-        if (!message) {
-            this->counters.add(Counter::PeerPacketsRejected);
-            return;
-        }
-        this->onPeerMessage(*message);
-    }
-
     void onPeerMessage(const PeerMessage &message)
     {
         Actions out;
@@ -191,27 +164,7 @@
         for (const PacketOut &packet : actions.toTargets) {
             this->targetSockets.front()->send(packet.endpoint, packet.packet);
         }
-        for (const MessageOut &message : actions.toPeers) {
-            this->sendDatagram(message);
-        }
-        for (const MessageOut &message : actions.toStreams) {
-            if (const auto peer = this->node.endpointOf(message.peer)) {
-                this->streamClient.send(*peer, message.message);
-            }
-        }
-    }
-
-    void sendDatagram(const MessageOut &message)
-    {
-        const auto peer = this->node.endpointOf(message.peer);
-        if (!peer) {
-            return;
-        }
-        const Bytes datagram = this->sealer.seal(encodeMessage(message.message));
-        const bool relay = isRelay(message.message);
-        this->counters.add(relay ? Counter::RelayBytesSent : Counter::ControlBytesSent, datagram.size());
-        this->counters.add(Counter::RelaysSent, relay ? 1 : 0);
-        this->peerSockets.front()->send(*peer, datagram);
+        this->peers.send(actions);
     }
 
     //--- Timers
@@ -272,7 +225,7 @@
         if (!loaded.faults.empty()) {
             return;
         }
-        this->sealer.updateKeys(loaded.keys);
+        this->peers.updateKeys(loaded.keys);
         this->node.updateKeys(loaded.keys);
         LOG(INFO) << "keys=reloaded count=" << loaded.keys.size();
     }
@@ -311,16 +264,13 @@
     const DaemonSettings settings;
     SystemClock clock;
     Counters counters;
-    PacketSealer sealer;
     Node node;
 
     // workers
     boost::asio::io_context context;
-    std::vector<std::unique_ptr<UdpSocket>> peerSockets;
     std::vector<std::unique_ptr<UdpSocket>> targetSockets;
     ServiceSockets services;
-    StreamServer streamServer;
-    StreamClient streamClient;
+    PeerLink peers;
     MetricsServer metrics;
     boost::asio::signal_set signals;
     boost::asio::steady_timer tickTimer;
--- a/src/apps/flowdaemon.cpp
+++ b/src/apps/flowdaemon.cpp
@@ -4,12 +4,10 @@
 
 #include "apps/flowlog.h"
 #include "apps/flowpages.h"
+#include "apps/flowstore.h"
 #include "apps/storereading.h"
 #include "flows/flowforwarder.h"
-#include "platform/flowobjects.h"
 #include "platform/packethead.h"
-#include "platform/platformclient.h"
-#include "store/objectwatcher.h"
 #include "transport/connectioncheck.h"
 #include "transport/metricsserver.h"
 #include "transport/udpsocket.h"
@@ -34,14 +32,6 @@
 constexpr uint64_t timedShare = 16;         // reading the clock twice costs about as much as forwarding
 constexpr const char *readinessPath = "/ready";
 
-PlatformSettings storeSettings(const DaemonSettings &settings)
-{
-    PlatformSettings store;
-    store.endpoint = settings.platform;
-    store.callTimeout = storeReadingOf(*settings.flows).silence;
-    return store;
-}
-
 CheckOutcome outcomeOf(ConnectionResult result)
 {
     switch (result) {
@@ -57,10 +47,10 @@
 
 } // namespace
 
-class FlowDaemon::Impl
+class FlowDaemon::Impl final : public StoreObserver
 {
 public:
-    Impl(const DaemonSettings &settings, std::string settingsPath)
+    Impl(const DaemonSettings &settings, const std::vector<Bytes> &keys, std::string settingsPath)
         : settings(settings)
         , settingsPath(std::move(settingsPath))
         , log(STDOUT_FILENO, this->clock)
@@ -70,13 +60,8 @@
         , packets(this->context, settings.flows->packets, false)
         , readiness(this->context, settings.flows->readiness)
         , metrics(this->context, Endpoint{ settings.address, settings.metricsPort })
-        , client(this->context, this->storeCounters, storeSettings(settings))
-        , targets(
-              this->client, this->clock, this->seed, std::string(targetPrefix), [this](const ObjectsRead &read) { this->onTargets(read); },
-              storeReadingOf(*settings.flows).targets)
-        , configurations(
-              this->client, this->clock, this->seed + 1, std::string(configurationPrefix), [this](const ObjectsRead &read) { this->onConfigurations(read); },
-              storeReadingOf(*settings.flows).configurations)
+        , store(this->context, settings, keys, this->clock, this->seed, *this,
+                [this](const std::string &event, const nlohmann::ordered_json &fields) { this->note(event, fields); })
         , signals(this->context, SIGTERM, SIGINT)
         , reloadSignal(this->context, SIGHUP)
         , tickTimer(this->context)
@@ -95,8 +80,6 @@
                      { "packets", toString(this->settings.flows->packets) },
                      { "store", toString(this->settings.platform) },
                      { "version", HORNBEAM_VERSION } });
-        this->targets.setFailureCallback([this](const PlatformReply &reply) { this->onStoreFailure("targets", reply); });
-        this->configurations.setFailureCallback([this](const PlatformReply &reply) { this->onStoreFailure("configuration", reply); });
         this->settingsTime = this->readSettingsTime();
         this->awaitStop();
         this->awaitReload();
@@ -113,7 +96,7 @@
     bool open()
     {
         bool isGood = true;
-        for (const std::string &error : { this->packets.error(), this->readiness.error(), this->metrics.error() }) {
+        for (const std::string &error : { this->packets.error(), this->readiness.error(), this->metrics.error(), this->store.error() }) {
             if (!error.empty()) {
                 this->note("start_failed", { { "problem", error } });
                 isGood = false;
@@ -129,7 +112,9 @@
         this->metrics.addPage("/targets", [this] { return targetsPage(this->forwarder, this->clock.now()); });
         this->metrics.addPage("/routes", [this] { return routesPage(this->forwarder); });
         this->metrics.addPage("/flows", [this] { return flowsPage(this->forwarder, this->clock.now()); });
+        this->metrics.addPage("/members", [this] { return this->store.membersPage(); });
         this->metrics.beginAccept();
+        this->store.beginReceive();
         return true;
     }
 
@@ -212,7 +197,7 @@
                             [this, target = check.target](ConnectionResult result) { this->onChecked(target, result); });
         }
         if (actions.wantsTargets) {
-            this->targets.callNow();
+            this->store.readNow(StorePart::Targets);
         }
     }
 
@@ -225,80 +210,56 @@
 
     //--- Store
 
-    void onTargets(const ObjectsRead &read)
+    void onTargetNews(const TargetNews &news, MemberId) override
     {
-        this->noteStoreAnswer("targets", this->targetsLost);
         std::vector<TargetRecord> records;
-        std::vector<std::string> removed;
-        for (const PlatformObject &object : read.objects) {
-            const TargetRead target = object.isDeleted ? TargetRead{} : readTarget(object);
-            if (target.record.has_value()) {
-                records.push_back(*target.record);
-                continue;
-            }
-            removed.push_back(object.key.substr(targetPrefix.size()));
-            if (!object.isDeleted) {
-                this->note("target_ignored", { { "target", removed.back() }, { "revision", object.version }, { "problem", target.problem } });
-            }
+        for (const TargetEntry &entry : news.updated) {
+            records.push_back(entry.record);
         }
         FlowActions actions;
-        if (read.isWhole) {
-            this->forwarder.onTargets(records, read.asked, actions);
+        if (news.isWhole) {
+            this->forwarder.onTargets(records, news.asked, actions);
         } else {
-            this->forwarder.onTargetChanges(records, removed, read.asked, actions);
+            this->forwarder.onTargetChanges(records, news.removed, news.asked, actions);
         }
         this->perform(actions);
         this->beginPackets();
-        this->targets.setHurry(this->forwarder.targetDirectory().hasMissing());
-    }
-
-    void onConfigurations(const ObjectsRead &read)
-    {
-        this->noteStoreAnswer("configuration", this->configurationLost);
-        for (const PlatformObject &object : read.objects) {
-            if (object.key == configurationKey && !object.isDeleted) {
-                this->onConfiguration(object);
-            }
-        }
-        this->forwarder.onConfigurationConfirmed(this->clock.now());
-        this->beginPackets();
+        this->store.setHurry(this->forwarder.targetDirectory().hasMissing());
     }
 
-    void onConfiguration(const PlatformObject &object)
+    void onConfigurationNews(const RouteConfiguration &configuration, uint64_t revision, MemberId source) override
     {
-        const ConfigurationRead read = readConfiguration(object);
         const uint64_t inForce = this->forwarder.routeTable().version();
-        if (!read.configuration.has_value()) {
-            this->note("configuration_ignored", { { "revision", object.version }, { "in_force", inForce }, { "problem", read.problem } });
-            return;
-        }
         FlowActions actions;
-        const RouteTable::Update update = this->forwarder.onConfiguration(*read.configuration, actions);
+        const RouteTable::Update update = this->forwarder.onConfiguration(configuration, actions);
         this->perform(actions);
         if (update == RouteTable::Update::Applied) {
             this->note("configuration_applied",
-                       { { "version", read.configuration->version },
+                       { { "version", configuration.version },
                          { "before", inForce },
-                         { "revision", object.version },
+                         { "revision", revision },
+                         { "source", source == 0 ? "store" : "member" },
                          { "routes", this->forwarder.routeTable().size() } });
         } else if (update == RouteTable::Update::Older) {
-            this->note("configuration_ignored", { { "version", read.configuration->version }, { "in_force", inForce }, { "problem", "an older version" } });
+            this->note("configuration_ignored", { { "version", configuration.version }, { "in_force", inForce }, { "problem", "an older version" } });
         }
+        this->beginPackets();
     }
 
-    void onStoreFailure(const char *what, const PlatformReply &reply)
+    void onConfigurationConfirmed(TimePoint asked) override
     {
-        bool &isLost = std::string_view(what) == "targets" ? this->targetsLost : this->configurationLost;
-        isLost = true;
-        this->note("store_lost", { { "reading", what }, { "outcome", nameOf(reply.outcome) }, { "problem", reply.problem } });
+        this->forwarder.onConfigurationConfirmed(asked);
+        this->beginPackets();
     }
 
-    void noteStoreAnswer(const char *what, bool &isLost)
+    void onReadingWanted(StorePart part) override
     {
-        if (isLost) {
-            isLost = false;
-            this->note("store_regained", { { "reading", what } });
-        }
+        this->store.readNow(part);
+    }
+
+    void onSourceChanged(MemberId before, MemberId source, std::string_view reason) override
+    {
+        this->note("store_source", { { "before", before }, { "source", source }, { "reason", reason } });
     }
 
     //--- Timers
@@ -313,8 +274,7 @@
         FlowActions actions;
         this->forwarder.tick(actions);
         this->perform(actions);
-        this->targets.tick(true);
-        this->configurations.tick(true);
+        this->store.tick();
         this->beginPackets();
         if (now >= this->nextSettingsPoll) {
             this->nextSettingsPoll = now + settingsPollInterval;
@@ -361,9 +321,15 @@
             this->note("settings_kept", { { "reason", reason }, { "problem", checked.faults.empty() ? "no flows" : toString(checked.faults.front()) } });
             return;
         }
+        const LoadedKeys keys = loadKeys(checked.settings->keyFiles);
+        if (!keys.faults.empty()) {
+            this->note("keys_kept", { { "reason", reason }, { "problem", toString(keys.faults.front()) } });
+        } else if (!keys.keys.empty()) {
+            this->store.updateKeys(keys.keys);
+        }
         const bool isMoved = checked.settings->platform != this->settings.platform;
         this->settings.platform = checked.settings->platform;
-        this->client.setEndpoint(this->settings.platform);
+        this->store.setEndpoint(this->settings.platform);
         this->note("settings_reloaded", { { "reason", reason }, { "store", toString(this->settings.platform) }, { "store_changed", isMoved } });
     }
 
@@ -371,7 +337,7 @@
     {
         return this->forwarder.flowCounters().text() + flowGauges(this->forwarder, this->isReady(), this->clock.now())
             + this->forwarder.answerTimes().text("hornbeam_flow_answer_seconds") + this->forwardingTimes.text("hornbeam_flow_forwarding_seconds")
-            + this->storeCounters.text() + "hornbeam_log_lines_left_out_total " + std::to_string(this->log.leftOut()) + "\n";
+            + this->store.metricsText() + "hornbeam_log_lines_left_out_total " + std::to_string(this->log.leftOut()) + "\n";
     }
 
     //--- Stop
@@ -389,8 +355,12 @@
             }
             this->isStopping = true; // routers are told first; packets that still come are forwarded
             this->note("stopping", { { "signal", signal }, { "linger_ms", stopLinger.count() }, { "flows", this->forwarder.flowCount() } });
+            this->store.beginLeave();
             this->stopTimer.expires_after(stopLinger);
-            this->stopTimer.async_wait([this](const boost::system::error_code &) { this->context.stop(); });
+            this->stopTimer.async_wait([this](const boost::system::error_code &) {
+                this->store.endLeave();
+                this->context.stop();
+            });
             this->awaitStop();
         });
     }
@@ -402,15 +372,12 @@
     FlowLog flowLog;
     const uint64_t seed;
     FlowForwarder forwarder;
-    Counters storeCounters;
 
     boost::asio::io_context context{ 1 };
     UdpSocket packets;
     MetricsServer readiness;
     MetricsServer metrics;
-    PlatformClient client;
-    ObjectWatcher targets;
-    ObjectWatcher configurations;
+    FlowStore store;
     boost::asio::signal_set signals;
     boost::asio::signal_set reloadSignal;
     boost::asio::steady_timer tickTimer;
@@ -421,14 +388,13 @@
     const TimePoint startedAt = this->clock.now();
     bool isReceiving = false;
     bool isStopping = false;
-    bool targetsLost = false;
-    bool configurationLost = false;
     std::filesystem::file_time_type settingsTime;
     TimePoint nextSettingsPoll;
     TimePoint lastTick;
 };
 
-FlowDaemon::FlowDaemon(const DaemonSettings &settings, const std::string &settingsPath) : impl(std::make_unique<Impl>(settings, settingsPath))
+FlowDaemon::FlowDaemon(const DaemonSettings &settings, const std::vector<Bytes> &keys, const std::string &settingsPath)
+    : impl(std::make_unique<Impl>(settings, keys, settingsPath))
 {
 }
 
--- a/src/apps/flowdaemon.h
+++ b/src/apps/flowdaemon.h
@@ -11,8 +11,8 @@
 class FlowDaemon
 {
 public:
-    /** `settingsPath` is read again on SIGHUP and when the file changes. Precondition: the settings have `flows`. */
-    FlowDaemon(const DaemonSettings &settings, const std::string &settingsPath);
+    /** `settingsPath` is read again on SIGHUP and when the file changes. Precondition: the settings have `flows`; there is one key at least. */
+    FlowDaemon(const DaemonSettings &settings, const std::vector<Bytes> &keys, const std::string &settingsPath);
     ~FlowDaemon();
     FlowDaemon(const FlowDaemon &) = delete;
     FlowDaemon &operator=(const FlowDaemon &) = delete;
--- /dev/null
+++ b/src/apps/flowstore.cpp
@@ -0,0 +1,321 @@
+// Sections: start | store | members | state
+
+#include "apps/flowstore.h"
+
+#include "apps/peerlink.h"
+#include "apps/storereading.h"
+#include "membership/membership.h"
+#include "platform/flowobjects.h"
+#include "platform/platformclient.h"
+#include "store/objectwatcher.h"
+
+#include <map>
+#include <nlohmann/json.hpp>
+
+namespace hornbeam {
+
+namespace {
+
+constexpr Duration readNowInterval = seconds(1); // between two readings that single packets or members ask for
+constexpr size_t peerWorkers = 1;                // one event loop owns everything
+
+PlatformSettings storeSettings(const DaemonSettings &settings)
+{
+    PlatformSettings store;
+    store.endpoint = settings.platform;
+    store.callTimeout = storeReadingOf(*settings.flows).silence;
+    return store;
+}
+
+// instances know seeds by their addresses only, so that an address is what a member is known by
+MemberId idAt(const Endpoint &peer)
+{
+    return memberIdOf(toString(peer));
+}
+
+MemberRecord selfRecord(const DaemonSettings &settings, const Clock &clock)
+{
+    MemberRecord self;
+    self.peer = { settings.address, settings.peerPort };
+    self.id = idAt(self.peer);
+    self.zone = zoneIdOf(settings.zone);
+    self.incarnation = clock.wallMillis();
+    return self;
+}
+
+int64_t ageMillis(TimePoint since, TimePoint now)
+{
+    return since == TimePoint{} ? -1 : std::chrono::duration_cast<milliseconds>(now - since).count();
+}
+
+} // namespace
+
+class FlowStore::Impl
+{
+public:
+    Impl(boost::asio::io_context &context, const DaemonSettings &settings, const std::vector<Bytes> &keys, const Clock &clock, uint64_t seed,
+         StoreObserver &observer, Note note)
+        : clock(clock)
+        , observer(observer)
+        , note(std::move(note))
+        , membership(settings.parts.membership, selfRecord(settings, clock), clock, this->counters, seed)
+        , link(
+              context, Endpoint{ settings.address, settings.peerPort }, peerWorkers, keys, this->counters,
+              [this](const PeerMessage &message) { this->onMessage(message); }, [this](MemberId member) { return this->membership.endpointOf(member); })
+        , sharing(storeReadingOf(*settings.flows).sharing, this->membership, clock, this->counters, observer)
+        , client(context, this->counters, storeSettings(settings))
+        , targets(
+              this->client, clock, seed, std::string(targetPrefix), [this](const ObjectsRead &read) { this->onTargets(read); },
+              storeReadingOf(*settings.flows).targets)
+        , configurations(
+              this->client, clock, seed + 1, std::string(configurationPrefix), [this](const ObjectsRead &read) { this->onConfigurations(read); },
+              storeReadingOf(*settings.flows).configurations)
+    {
+        for (const uint32_t host : settings.flows->seedHosts) {
+            const Endpoint peer{ host, settings.peerPort };
+            this->membership.addSeed(idAt(peer), unknownZone, peer);
+        }
+        this->targets.setFailureCallback([this](const PlatformReply &reply) { this->onFailure(StorePart::Targets, reply); });
+        this->configurations.setFailureCallback([this](const PlatformReply &reply) { this->onFailure(StorePart::Configuration, reply); });
+    }
+
+    //--- Store
+
+    void tick()
+    {
+        Actions out;
+        this->membership.tick(out);
+        this->sharing.tick(out);
+        this->link.send(out);
+        this->targets.tick(this->sharing.isReader(StorePart::Targets));
+        this->configurations.tick(this->sharing.isReader(StorePart::Configuration));
+    }
+
+    void readNow(StorePart part)
+    {
+        TimePoint &last = this->readNowAt[static_cast<size_t>(part)];
+        const TimePoint now = this->clock.now();
+        if (last != TimePoint{} && now - last < readNowInterval) {
+            return;
+        }
+        last = now;
+        (part == StorePart::Targets ? this->targets : this->configurations).callNow();
+    }
+
+    void onTargets(const ObjectsRead &read)
+    {
+        this->noteAnswer(StorePart::Targets);
+        std::map<std::string, std::optional<TargetEntry>> last; // an answer may tell of several changes of one entry
+        for (const PlatformObject &object : read.objects) {
+            const std::string name = object.key.substr(targetPrefix.size());
+            std::optional<TargetEntry> &entry = last[name];
+            entry.reset();
+            if (object.isDeleted) {
+                continue;
+            }
+            TargetRead target = readTarget(object);
+            if (target.record.has_value()) {
+                entry = TargetEntry{ std::move(*target.record), object.version };
+            } else {
+                this->note("target_ignored", { { "target", name }, { "revision", object.version }, { "problem", target.problem } });
+            }
+        }
+        TargetNews news{ read.isWhole, read.from, read.revision, read.asked, {}, {} };
+        for (auto &[name, entry] : last) {
+            if (entry.has_value()) {
+                news.updated.push_back(std::move(*entry));
+            } else {
+                news.removed.push_back(name);
+            }
+        }
+        Actions out;
+        this->sharing.onStoreTargets(std::move(news), out);
+        this->link.send(out);
+    }
+
+    void onConfigurations(const ObjectsRead &read)
+    {
+        this->noteAnswer(StorePart::Configuration);
+        Actions out;
+        for (const PlatformObject &object : read.objects) {
+            if (object.key != configurationKey || object.isDeleted) {
+                continue;
+            }
+            const ConfigurationRead configuration = readConfiguration(object);
+            if (configuration.configuration.has_value()) {
+                this->sharing.onStoreConfiguration(*configuration.configuration, object.version, out);
+            } else {
+                this->note("configuration_ignored", { { "revision", object.version }, { "problem", configuration.problem } });
+            }
+        }
+        this->sharing.onStoreConfigurationConfirmed(read.asked);
+        this->observer.onConfigurationConfirmed(this->clock.now()); // the answer itself has just left the store
+        this->link.send(out);
+    }
+
+    void onFailure(StorePart part, const PlatformReply &reply)
+    {
+        this->isLost[static_cast<size_t>(part)] = true;
+        this->note("store_lost", { { "reading", nameOf(part) }, { "outcome", nameOf(reply.outcome) }, { "problem", reply.problem } });
+    }
+
+    void noteAnswer(StorePart part)
+    {
+        bool &lost = this->isLost[static_cast<size_t>(part)];
+        if (lost) {
+            lost = false;
+            this->note("store_regained", { { "reading", nameOf(part) } });
+        }
+    }
+
+    //--- Members
+
+    void onMessage(const PeerMessage &message)
+    {
+        Actions out;
+        if (const auto *ask = std::get_if<StoreAsk>(&message)) {
+            this->membership.addSeed(ask->asker.id, ask->asker.zone, ask->asker.peer); // so that it can be answered
+        }
+        std::visit(
+            [this, &out](const auto &typed) {
+                if constexpr (requires { this->membership.onMessage(typed, out); }) {
+                    this->membership.onMessage(typed, out);
+                } else if constexpr (requires { this->sharing.onMessage(typed, out); }) {
+                    this->sharing.onMessage(typed, out);
+                } else {
+                    this->counters.add(Counter::PeerPacketsRejected); // of an instance that serves tables
+                }
+            },
+            message);
+        this->link.send(out);
+    }
+
+    void beginLeave()
+    {
+        Actions out;
+        this->membership.beginLeave(out);
+        this->link.send(out);
+    }
+
+    void endLeave()
+    {
+        Actions out;
+        this->membership.endLeave(out);
+        this->link.send(out);
+    }
+
+    //--- State
+
+    std::string metricsText() const
+    {
+        size_t live = 0;
+        for (const MemberRecord &member : this->membership.members()) {
+            live += isLive(member.state) ? 1 : 0;
+        }
+        return this->counters.text() + "hornbeam_members_live " + std::to_string(live) + "\nhornbeam_store_reader "
+            + (this->sharing.isReader(StorePart::Targets) ? "1" : "0") + "\n";
+    }
+
+    std::string membersPage() const
+    {
+        using Json = nlohmann::ordered_json;
+        const TimePoint now = this->clock.now();
+        Json members = Json::array();
+        for (const MemberRecord &member : this->membership.members()) {
+            members.push_back({ { "peer", toString(member.peer) },
+                                { "zone", member.zone },
+                                { "state", nameOf(member.state) },
+                                { "incarnation", member.incarnation },
+                                { "source", member.id == this->sharing.source() } });
+        }
+        const TargetView &targetView = this->sharing.targetView();
+        const ConfigurationView &configurationView = this->sharing.configurationView();
+        const Json page{ { "self", toString(this->membership.self().peer) },
+                         { "reads_targets", this->sharing.isReader(StorePart::Targets) },
+                         { "reads_configuration", this->sharing.isReader(StorePart::Configuration) },
+                         { "targets", { { "revision", targetView.revision() }, { "age_ms", ageMillis(targetView.confirmedAt(), now) } } },
+                         { "configuration", { { "revision", configurationView.revision() }, { "age_ms", ageMillis(configurationView.confirmedAt(), now) } } },
+                         { "members", std::move(members) } };
+        return page.dump(2) + "\n";
+    }
+
+    const Clock &clock;
+    StoreObserver &observer;
+    Note note;
+    Counters counters;
+    Membership membership;
+    PeerLink link;
+    SharedReading sharing;
+    PlatformClient client;
+    ObjectWatcher targets;
+    ObjectWatcher configurations;
+    std::array<bool, static_cast<size_t>(StorePart::Count)> isLost{};
+    std::array<TimePoint, static_cast<size_t>(StorePart::Count)> readNowAt{};
+};
+
+//--- The class itself
+
+FlowStore::FlowStore(boost::asio::io_context &context, const DaemonSettings &settings, const std::vector<Bytes> &keys, const Clock &clock, uint64_t seed,
+                     StoreObserver &observer, Note note)
+    : impl(std::make_unique<Impl>(context, settings, keys, clock, seed, observer, std::move(note)))
+{
+}
+
+FlowStore::~FlowStore() = default;
+
+const std::string &FlowStore::error() const
+{
+    return this->impl->link.error();
+}
+
+void FlowStore::beginReceive()
+{
+    this->impl->link.beginReceive();
+}
+
+void FlowStore::tick()
+{
+    this->impl->tick();
+}
+
+void FlowStore::readNow(StorePart part)
+{
+    this->impl->readNow(part);
+}
+
+void FlowStore::setHurry(bool isHurried)
+{
+    this->impl->targets.setHurry(isHurried);
+}
+
+void FlowStore::setEndpoint(const Endpoint &endpoint)
+{
+    this->impl->client.setEndpoint(endpoint);
+}
+
+void FlowStore::updateKeys(const std::vector<Bytes> &keys)
+{
+    this->impl->link.updateKeys(keys);
+}
+
+void FlowStore::beginLeave()
+{
+    this->impl->beginLeave();
+}
+
+void FlowStore::endLeave()
+{
+    this->impl->endLeave();
+}
+
+std::string FlowStore::metricsText() const
+{
+    return this->impl->metricsText();
+}
+
+std::string FlowStore::membersPage() const
+{
+    return this->impl->membersPage();
+}
+
+} // namespace hornbeam
--- a/src/apps/hornbeamd.cpp
+++ b/src/apps/hornbeamd.cpp
@@ -18,12 +18,12 @@
 int main(int argc, char **argv)
 {
     std::string path;
-    bool checkOnly = false;
+    std::string checkPath;
     bool printDefaults = false;
     CLI::App app("hornbeamd: a balancer instance of hornbeamrouter");
     app.set_version_flag("--version", "hornbeamd " HORNBEAM_VERSION);
     app.add_option("--settings", path, "JSON settings file");
-    app.add_flag("--check-settings", checkOnly, "check the settings file, print every fault, and exit");
+    app.add_option("--check-settings", checkPath, "check this settings file, or that of --settings, print every fault, and exit")->expected(0, 1);
     app.add_flag("--print-defaults", printDefaults, "print the settings with their defaults, and exit");
     app.footer(
         "Example:\n  hornbeamd --settings /etc/hornbeamrouter/hornbeamd.json\nExit codes: 0 planned stop or good settings, 1 failed, 2 bad settings or usage.");
@@ -36,25 +36,29 @@
     if (printDefaults) {
         return hornbeam::printDefaults(std::cout);
     }
+    const bool isCheck = app.count("--check-settings") > 0;
+    if (isCheck && !checkPath.empty()) {
+        path = checkPath;
+    }
     if (path.empty()) {
-        std::cerr << "--settings is required\n";
+        std::cerr << (isCheck ? "--check-settings needs a file\n" : "--settings is required\n");
         return badSettings;
     }
-    if (checkOnly) {
+    if (isCheck) {
         return hornbeam::checkSettings(path, std::cout);
     }
     const hornbeam::CheckedSettings checked = hornbeam::loadSettings(path);
     if (!checked.settings) {
         return hornbeam::checkSettings(path, std::cerr); // prints every fault
     }
-    if (checked.settings->flows.has_value()) {
-        hornbeam::FlowDaemon daemon(*checked.settings, path);
-        return daemon.run();
-    }
     const hornbeam::LoadedKeys keys = hornbeam::loadKeys(checked.settings->keyFiles);
     if (!keys.faults.empty()) {
         return hornbeam::checkSettings(path, std::cerr);
     }
+    if (checked.settings->flows.has_value()) {
+        hornbeam::FlowDaemon daemon(*checked.settings, keys.keys.empty() ? hornbeam::groupKeys(*checked.settings->flows) : keys.keys, path);
+        return daemon.run();
+    }
     google::InitGoogleLogging(argv[0]);
     FLAGS_logtostderr = true;
     coap_set_log_level(LOG_EMERG); // malformed packets are counted, not logged
--- /dev/null
+++ b/src/apps/peerlink.h
@@ -0,0 +1,51 @@
+#pragma once
+
+// The way to other instances: sealed messages, as datagrams or over streams, on one port.
+
+#include "peer/actions.h"
+#include "peer/seal.h"
+#include "transport/streams.h"
+#include "transport/udpsocket.h"
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace hornbeam {
+
+class PeerLink
+{
+public:
+    using MessageHandler = std::function<void(const PeerMessage &)>;                // called on a worker, from several at once
+    using EndpointLookup = std::function<std::optional<Endpoint>(MemberId member)>; // thread safe
+
+    /** Binds `workers` sockets and a listener on one address. Precondition: the context and the counters outlive the last handler that runs on the context. */
+    PeerLink(boost::asio::io_context &context, const Endpoint &local, size_t workers, const std::vector<Bytes> &keys, Counters &counters,
+             MessageHandler onMessage, EndpointLookup endpointOf);
+
+    /** Empty when everything is bound, else what failed, with the address. */
+    const std::string &error() const;
+    /** Starts to receive. Precondition: error() is empty; called once. */
+    void beginReceive();
+    /** Sends the messages for other members; those for unknown members are dropped. Thread safe. */
+    void send(const Actions &actions);
+    /** Puts other keys in force. Precondition: as for PacketSealer. Thread safe. */
+    void updateKeys(const std::vector<Bytes> &keys);
+
+private:
+    void onDatagram(const uint8_t *data, size_t size);
+    void sendDatagram(const MessageOut &message);
+
+    PacketSealer sealer;
+    Counters &counters;
+    MessageHandler onMessage;
+    EndpointLookup endpointOf;
+    std::vector<std::unique_ptr<UdpSocket>> sockets;
+    StreamServer streamServer;
+    StreamClient streamClient;
+    std::string problem;
+};
+
+} // namespace hornbeam
--- a/src/apps/settings.cpp
+++ b/src/apps/settings.cpp
@@ -141,6 +141,22 @@
 constexpr int heartbeatsToLapse = 3;             // missed, until the store removes an entry
 constexpr Duration lapseLag = milliseconds(500); // of the store's removal and of a heartbeat on its way
 
+// addresses as a.b.c.d; a port behind one is left out, since it belongs to another interface
+void readSeedHosts(JsonFields &fields, std::vector<uint32_t> &hosts)
+{
+    const json *list = fields.array("seed_hosts");
+    for (size_t i = 0; list != nullptr && i < list->size(); ++i) {
+        const json &entry = (*list)[i];
+        const std::string text = entry.is_string() ? entry.get<std::string>() : "";
+        Endpoint endpoint;
+        if (!parseEndpoint(text, endpoint) && !parseEndpoint(text + ":1", endpoint)) {
+            fields.fault("seed_hosts", "a list of IPv4 addresses as a.b.c.d");
+            return;
+        }
+        hosts.push_back(endpoint.address);
+    }
+}
+
 void readFlows(JsonFields &fields, DaemonSettings &settings, std::vector<Fault> &faults)
 {
     const json *object = fields.object("flows");
@@ -161,6 +177,8 @@
     readBound("drain_bound_ms", 2500, settings.flows->drainBound);
     readBound("change_bound_ms", 2500, settings.flows->changeBound);
     readBound("stability_ms", 2000, settings.flows->stability);
+    readSeedHosts(part, settings.flows->seedHosts);
+    part.name("peer_group", settings.flows->peerGroup);
     settings.flows->parts.entryLapse = heartbeatsToLapse * settings.flows->targetHeartbeat + lapseLag;
     readFlowTunables(part, settings.flows->parts);
     part.finish();
@@ -221,7 +239,7 @@
     }
     readEndpoint(fields, "platform", settings.platform);
     readFlows(fields, settings, checked.faults);
-    if (!settings.flows.has_value()) {
+    if (!settings.flows.has_value() || fields.has("key_files")) {
         readKeyFiles(fields, settings);
     }
     readCount(fields, "workers", maxWorkers, settings.workers);
@@ -261,6 +279,12 @@
     return loaded;
 }
 
+std::vector<Bytes> groupKeys(const FlowServiceSettings &flows)
+{
+    const std::string text = "hornbeamrouter peer group " + flows.peerGroup;
+    return { Bytes(text.begin(), text.end()) };
+}
+
 std::string writeSettings(const DaemonSettings &settings)
 {
     json seeds = json::array();
@@ -278,13 +302,20 @@
                  { "drain_seconds", settings.drainSeconds },
                  { "seeds", seeds } };
     if (settings.flows.has_value()) {
-        object.erase("key_files");
+        if (settings.keyFiles.empty()) {
+            object.erase("key_files");
+        }
         object["flows"] = { { "packet_address", toString(settings.flows->packets) }, { "readiness_address", toString(settings.flows->readiness) } };
         const auto millis = [](Duration bound) { return std::chrono::duration_cast<milliseconds>(bound).count(); };
         object["flows"]["target_heartbeat_ms"] = millis(settings.flows->targetHeartbeat);
         object["flows"]["drain_bound_ms"] = millis(settings.flows->drainBound);
         object["flows"]["change_bound_ms"] = millis(settings.flows->changeBound);
         object["flows"]["stability_ms"] = millis(settings.flows->stability);
+        object["flows"]["seed_hosts"] = json::array();
+        for (const uint32_t host : settings.flows->seedHosts) {
+            object["flows"]["seed_hosts"].push_back(addressText(host));
+        }
+        object["flows"]["peer_group"] = settings.flows->peerGroup;
         writeFlowTunables(settings.flows->parts, object["flows"]);
     }
     writeTunables(settings.parts, object);
--- a/src/apps/settings.h
+++ b/src/apps/settings.h
@@ -32,6 +32,8 @@
     Duration drainBound = seconds(3);              // from the store's acknowledgement that a target drains to the last new flow that it may get
     Duration changeBound = seconds(3);             // from the store's acknowledgement of a configuration to its being in force
     Duration stability = seconds(4);               // after a failure, until what it left behind must be made good
+    std::vector<uint32_t> seedHosts;               // IPv4 addresses of some instances, which may be down; all use the same peer_port
+    std::string peerGroup = "hornbeamrouter";      // instances of one deployment share it; signs their messages where there are no key files
 };
 
 struct DaemonSettings
@@ -42,7 +44,7 @@
     uint16_t peerPort = 7946;          // UDP and TCP, 1 to 65535
     uint16_t metricsPort = 9464;       // TCP, HTTP with the counters, 1 to 65535, not the peer port
     Endpoint platform;                 // of the platform's object API
-    std::vector<std::string> keyFiles; // 1 or 2; the first signs, both verify; none when flows are forwarded
+    std::vector<std::string> keyFiles; // 1 or 2; the first signs, both verify; may be none when flows are forwarded
     uint32_t workers = 2;              // threads, 1 to 256
     uint32_t drainSeconds = 30;        // at most, from SIGTERM to the exit, 1 to 3600
     std::vector<PeerSeed> seeds;       // may be empty
@@ -72,6 +74,10 @@
 CheckedSettings loadSettings(const std::string &path);
 /** Reads the key files: hexadecimal digits, or any bytes, of at least minKeyBytes. Thread safe. */
 LoadedKeys loadKeys(const std::vector<std::string> &files);
+/**
+ * The keys of instances without key files, from their peer group. They keep deployments apart and find damaged messages; they keep nobody out. Thread safe.
+ */
+std::vector<Bytes> groupKeys(const FlowServiceSettings &flows);
 /** Settings as JSON text, which parseSettings reads as the same. Thread safe. */
 std::string writeSettings(const DaemonSettings &settings);
 /** The settings to start from: every default, and examples where there is none. Thread safe. */
--- a/src/apps/storereading.cpp
+++ b/src/apps/storereading.cpp
@@ -7,15 +7,26 @@
 namespace {
 constexpr milliseconds storeSilence(1000); // 4 ms is usual, 0.4 s when the store is slow
 constexpr milliseconds watchMargin(500);   // for the call that follows a lost one
-constexpr milliseconds changeMargin(2000); // of a bound, for a failed call, its repeat and a large answer over a slow link
+constexpr milliseconds changePause(300);   // changes of a release come in groups
+constexpr milliseconds ownReading(500);    // of a bound, for the reading that begins when what members tell is outdated
+constexpr milliseconds shortestWatch(500); // a bound that is shorter costs calls, not promptness
+constexpr milliseconds answerMargin(300);  // of a call and of a message between members
 
-// `bound`: within it a change of the store's objects must be acted upon
-WatcherSettings watcherSettings(const FlowServiceSettings &flows, Duration bound)
+// while the reader's calls succeed, what a member knows from it is never older: a call that has begun, the one before it, and the message
+Duration outdatedAfter(Duration watchTimeout, const SharingSettings &sharing)
+{
+    return 2 * watchTimeout + changePause + sharing.hold + answerMargin;
+}
+
+// `bound`: within it a change of the store's objects must be acted upon, also when the member that reads the store fails
+WatcherSettings watcherSettings(const FlowServiceSettings &flows, Duration bound, const SharingSettings &sharing)
 {
     WatcherSettings settings;
-    settings.watchTimeout = flows.stability - storeSilence - watchMargin; // a lost answer is noticed before what it told must be in force
-    settings.shortTimeout = milliseconds(500);                            // while a target is missing
-    settings.pause = bound - changeMargin;                                // changes of a release come in groups
+    const Duration noticed = flows.stability - storeSilence - watchMargin; // a lost answer is noticed before what it told must be in force
+    const Duration followed = (bound - ownReading - outdatedAfter(Duration{ 0 }, sharing)) / 2;
+    settings.watchTimeout = std::max<Duration>(shortestWatch, std::min(noticed, followed));
+    settings.shortTimeout = milliseconds(500); // while a target is missing
+    settings.pause = changePause;
     settings.firstBackoff = milliseconds(200);
     settings.maxBackoff = seconds(1);
     return settings;
@@ -25,10 +36,12 @@
 StoreReading storeReadingOf(const FlowServiceSettings &flows)
 {
     StoreReading reading;
-    reading.targets = watcherSettings(flows, flows.drainBound);
-    reading.configurations = watcherSettings(flows, flows.changeBound);
+    reading.targets = watcherSettings(flows, flows.drainBound, reading.sharing);
+    reading.configurations = watcherSettings(flows, flows.changeBound, reading.sharing);
     reading.silence = storeSilence;
-    reading.freshness = reading.configurations.pause + reading.configurations.watchTimeout + storeSilence;
+    reading.sharing.targetsOutdated = outdatedAfter(reading.targets.watchTimeout, reading.sharing);
+    reading.sharing.configurationOutdated = outdatedAfter(reading.configurations.watchTimeout, reading.sharing);
+    reading.freshness = reading.sharing.configurationOutdated + storeSilence;
     return reading;
 }
 
--- a/src/apps/storereading.h
+++ b/src/apps/storereading.h
@@ -3,6 +3,7 @@
 // How an instance that forwards flows reads the store, so that it keeps the bounds of its deployment.
 
 #include "apps/settings.h"
+#include "sharing/sharingsettings.h"
 #include "store/objectwatcher.h"
 
 namespace hornbeam {
@@ -11,6 +12,7 @@
 {
     WatcherSettings targets;
     WatcherSettings configurations;
+    SharingSettings sharing;
     Duration silence{ 0 };   // of the store within an answer, before the call is given up
     Duration freshness{ 0 }; // longest time between two confirmations of the configuration while all calls succeed
 };
--- a/src/core/counters.cpp
+++ b/src/core/counters.cpp
@@ -12,6 +12,7 @@
     "feeds_moved_out",      "feed_copies_stored",     "notifications_sent",   "targets_probed",        "members_suspected",
     "members_failed",       "table_versions_applied", "table_versions_stale", "table_rows_rejected",   "table_pulls",
     "table_texts_sent",     "platform_calls",         "platform_errors",      "stream_sends_dropped",  "repeats_awaited",
+    "store_asks_sent",      "store_asks_unanswered",  "store_news_sent",      "store_news_outdated",   "store_news_taken",
     "answers_unmatched",
 };
 static_assert(std::size(counterNames) == static_cast<size_t>(Counter::Count));
--- a/src/core/counters.h
+++ b/src/core/counters.h
@@ -49,6 +49,11 @@
     PlatformErrors,       // calls that failed
     StreamSendsDropped,   // messages for streams that were given up: queue full, peer unreachable or refused by it
     RepeatsAwaited,       // repeated requests left without an answer, as their maker or this instance has just started
+    StoreAsksSent,        // questions to members of the zone about what the store told them
+    StoreAsksUnanswered,  // of those, no answer came in time
+    StoreNewsSent,        // answers to such questions
+    StoreNewsOutdated,    // answers that were older than what this instance may act on
+    StoreNewsTaken,       // answers that told of a change
     AnswersUnmatched,     // packets from targets that belong to no exchange, or come from another target than the one asked
     Count,
 };
--- a/src/flows/routetable.h
+++ b/src/flows/routetable.h
@@ -28,6 +28,8 @@
 {
     std::string service;
     uint32_t weight = 0; // relative to the other shares of the route
+
+    bool operator==(const RouteShare &) const = default;
 };
 
 struct Route
@@ -38,6 +40,8 @@
     Duration latencyTarget{ 0 };
     Duration timeout{ 0 };
     std::vector<RouteShare> shares; // at least one with a weight above 0
+
+    bool operator==(const Route &) const = default;
 };
 
 struct RouteConfiguration
--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -186,7 +186,11 @@
     }
     if (ping.sender.state != MemberState::Left) {
         const MemberId peer = ping.sender.id;
-        out.sendToPeer(peer, PingAck{ ping.sequence, this->own, this->tableDigest, this->updatesFor(peer), 0, this->contactsFor(peer) });
+        PingAck ack{ ping.sequence, this->own, this->tableDigest, this->updatesFor(peer), 0, this->contactsFor(peer) };
+        for (MemberRecord &record : this->introductionsFor(ping.sender)) {
+            ack.updates.push_back(std::move(record));
+        }
+        out.sendToPeer(peer, std::move(ack));
     }
     this->publish();
 }
@@ -310,6 +314,27 @@
     return updates;
 }
 
+/** For a caller from another zone, which may know this member as a seed and nobody else: members of its zone, and one of each further zone. */
+std::vector<MemberRecord> Membership::introductionsFor(const MemberRecord &stranger)
+{
+    std::vector<MemberRecord> records;
+    if (stranger.zone == this->own.zone) {
+        return records;
+    }
+    std::map<ZoneId, std::vector<MemberId>> byZone;
+    for (const auto &[member, entry] : this->table.all()) {
+        if (member != stranger.id && entry.record.zone != this->own.zone && isLive(entry.record.state)) {
+            byZone[entry.record.zone].push_back(member);
+        }
+    }
+    for (auto &[zone, members] : byZone) {
+        for (const MemberId member : this->someOf(std::move(members), zone == stranger.zone ? this->settings.introductions : 1)) {
+            records.push_back(this->table.find(member)->record);
+        }
+    }
+    return records;
+}
+
 std::vector<ZoneContact> Membership::contactsFor(MemberId peer) const
 {
     const MemberEntry *entry = this->table.find(peer);
--- a/src/membership/membership.h
+++ b/src/membership/membership.h
@@ -49,6 +49,7 @@
     size_t seedsContacted = 3;                    // seeds, 1 to 10: contacted per digest interval until they answer
     size_t leaveNotices = 8;                      // members, 1 to 20: told at once when this one leaves
     size_t seedsKept = 1024;                      // seeds that have not answered yet
+    size_t introductions = 8;                     // members, 1 to 24: of a caller's own zone, told to one that asks from another zone
 };
 
 //--- Membership
@@ -56,6 +57,9 @@
 /** The name used in dumps. Thread safe. */
 std::string_view nameOf(MemberState state);
 
+/** The zone of a seed of which only the address is known. */
+constexpr ZoneId unknownZone = 0;
+
 /** How far the tables in force here are in force in the zone. */
 struct TableAgreement
 {
@@ -71,7 +75,7 @@
     /** Precondition: `self` is Alive and has an identifier, a zone, an endpoint and an incarnation; `clock` and `counters` outlive this. */
     Membership(const MembershipSettings &settings, const MemberRecord &self, const Clock &clock, Counters &counters, uint64_t seed);
 
-    /** Adds an instance that the platform lists, of any zone. It is contacted, and counts as a member once it answers. May be repeated. */
+    /** Adds an instance that may exist, of any zone, or of `unknownZone`. It is contacted, and counts as a member once it answers. May be repeated. */
     void addSeed(MemberId member, ZoneId zone, const Endpoint &peer);
     /** Where to send a message for a member or a seed; nothing when it is neither. */
     std::optional<Endpoint> endpointOf(MemberId member) const;
@@ -138,6 +142,7 @@
     void sendPing(MemberId peer, uint64_t sequence, Actions &out);
     void sendPingsToSeveral(size_t most, Actions &out);
     std::vector<MemberRecord> updatesFor(MemberId peer);
+    std::vector<MemberRecord> introductionsFor(const MemberRecord &stranger);
     std::vector<ZoneContact> contactsFor(MemberId peer) const;
     unsigned updateSends() const;
 
--- a/src/membership/probes.cpp
+++ b/src/membership/probes.cpp
@@ -25,7 +25,9 @@
     }
     this->changed = this->table.forgetGone(now - this->settings.goneKept) || this->changed;
     if (now >= this->nextDigest) {
-        this->nextDigest = now + this->settings.digestInterval;
+        // the others of a system that starts as a whole are not up yet when the first of them looks for its seeds
+        const bool isAlone = this->table.all().empty() && !this->seeds.empty();
+        this->nextDigest = now + (isAlone ? this->settings.probeInterval : this->settings.digestInterval);
         this->listsLeft = this->settings.listsPerSecond;
         this->tellZone(out);
         this->contactSeeds(out);
--- a/src/membership/zones.cpp
+++ b/src/membership/zones.cpp
@@ -58,7 +58,7 @@
         }
     }
     for (const auto &[member, seed] : this->seeds) {
-        if (seed.zone != this->own.zone) {
+        if (seed.zone != this->own.zone && seed.zone != unknownZone) {
             byZone[seed.zone].push_back(member);
         }
     }
@@ -97,7 +97,7 @@
 {
     std::vector<MemberId> silent;
     for (const auto &[member, seed] : this->seeds) {
-        if (seed.zone == this->own.zone) {
+        if (seed.zone == this->own.zone || seed.zone == unknownZone) {
             silent.push_back(member);
         }
     }
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -151,6 +151,8 @@
                 this->requestEngine.onRecordHandover(typed, out);
             } else if constexpr (std::is_same_v<Typed, TableVersions> || std::is_same_v<Typed, TablePull> || std::is_same_v<Typed, TableText>) {
                 this->sync.onMessage(typed, out);
+            } else if constexpr (std::is_same_v<Typed, StoreAsk> || std::is_same_v<Typed, StoreNews>) {
+                // between instances that forward flows only
             } else {
                 this->feedEngine.onMessage(typed, out);
             }
--- a/src/peer/messages.h
+++ b/src/peer/messages.h
@@ -4,7 +4,7 @@
 // the order in which they stand on the wire; src/peer/codec.h turns them into CBOR and back. A field is only ever added at the end:
 // a decoder gives a field that an older sender left out its default and skips those that a newer one added.
 //
-// Sections: members | slots | requests | feeds | table | all
+// Sections: members | slots | requests | feeds | table | store | all
 
 #include "core/types.h"
 #include "core/verdict.h"
@@ -478,10 +478,131 @@
     }
 };
 
+//--- Store
+
+/** Asks a member of the own zone for what the store has told it since the revisions given. It answers once there is news, or after a while without any. */
+struct StoreAsk
+{
+    uint64_t sequence = 0;              // unique at the asker in its incarnation
+    MemberRecord asker;                 // with its address: a member that has just started doesn't know the others
+    uint64_t targetsRevision = 0;       // up to which the asker knows the targets; 0 for not at all
+    uint64_t configurationRevision = 0; // of the configuration that the asker has in force; 0 for none
+    bool wantsWhole = false;            // the store doesn't answer the asker, which knows nothing yet
+
+    template<typename Visitor>
+    void visitFields(Visitor &visit)
+    {
+        visit(this->sequence, this->asker, this->targetsRevision, this->configurationRevision, this->wantsWhole);
+    }
+};
+
+/** The entry of one process of a target. */
+struct StoreTarget
+{
+    std::string name;
+    std::string service;
+    Endpoint address;
+    ZoneId zone = 0;
+    uint64_t deliveryId = 0;
+    uint64_t incarnation = 0;
+    uint32_t slots = 1;
+    bool isDraining = false;
+    uint32_t coldForMs = 0;
+    uint64_t revision = 0; // of the entry's last change
+
+    template<typename Visitor>
+    void visitFields(Visitor &visit)
+    {
+        visit(this->name, this->service, this->address, this->zone, this->deliveryId, this->incarnation, this->slots, this->isDraining, this->coldForMs,
+              this->revision);
+    }
+};
+
+/** A share of a route's new flows. */
+struct StoreShare
+{
+    std::string service;
+    uint32_t weight = 0;
+
+    template<typename Visitor>
+    void visitFields(Visitor &visit)
+    {
+        visit(this->service, this->weight);
+    }
+};
+
+struct StoreRoute
+{
+    std::string name;
+    Endpoint address;
+    bool mayRepeat = false; // its requests are idempotent
+    uint32_t latencyTargetMs = 0;
+    uint32_t timeoutMs = 0;
+    std::vector<StoreShare> shares;
+
+    template<typename Visitor>
+    void visitFields(Visitor &visit)
+    {
+        visit(this->name, this->address, this->mayRepeat, this->latencyTargetMs, this->timeoutMs, this->shares);
+    }
+};
+
+/** What changed at the targets between two revisions of the store. */
+struct StoreTargetChanges
+{
+    uint64_t from = 0;     // 0: `updated` are all targets
+    uint64_t revision = 0; // 0: the sender knows no targets, or not what changed since the asker's revision
+    uint32_t ageMs = 0;    // since the sender put the question to the store that `revision` answers
+    std::vector<StoreTarget> updated;
+    std::vector<std::string> removed;
+
+    template<typename Visitor>
+    void visitFields(Visitor &visit)
+    {
+        visit(this->from, this->revision, this->ageMs, this->updated, this->removed);
+    }
+};
+
+/** The configuration in force at the sender, told by what differs from the asker's. */
+struct StoreConfigurationChanges
+{
+    uint64_t from = 0;       // revision of the configuration that the routes below change; 0: they are all routes
+    uint64_t revision = 0;   // of the configuration; 0: the sender has none
+    uint32_t ageMs = 0;      // since the sender put the question to the store that confirmed it
+    bool hasContent = false; // false: the fields below are left out, since the asker has this configuration or should read the store
+    uint64_t version = 0;
+    uint32_t idleMs = 0;
+    std::vector<StoreRoute> routes; // added or changed
+    std::vector<Endpoint> removed;
+
+    template<typename Visitor>
+    void visitFields(Visitor &visit)
+    {
+        visit(this->from, this->revision, this->ageMs, this->hasContent, this->version, this->idleMs, this->routes, this->removed);
+    }
+};
+
+/** The answer to StoreAsk. */
+struct StoreNews
+{
+    uint64_t sequence = 0; // of the question
+    MemberId sender = 0;
+    Incarnation incarnation = 0; // the asker's, from the question
+    uint32_t heldMs = 0;         // from the question's arrival to this answer: with the ages it bounds the age at the asker, however late this arrives
+    StoreTargetChanges targets;
+    StoreConfigurationChanges configuration;
+
+    template<typename Visitor>
+    void visitFields(Visitor &visit)
+    {
+        visit(this->sequence, this->sender, this->incarnation, this->heldMs, this->targets, this->configuration);
+    }
+};
+
 //--- All
 
 /** Every message, in the order of their numbers on the wire. New ones go to the end. */
 using PeerMessage = std::variant<Ping, PingAck, PingRequest, ZoneDigest, SlotAsk, SlotGrant, SlotRefusal, SlotRelease, HeldQuery, HeldReport, TargetNotice,
-                                 Relay, RecordHandover, FeedMove, FeedCopy, FeedTaken, FeedDrop, TableVersions, TablePull, TableText>;
+                                 Relay, RecordHandover, FeedMove, FeedCopy, FeedTaken, FeedDrop, TableVersions, TablePull, TableText, StoreAsk, StoreNews>;
 
 } // namespace hornbeam
--- /dev/null
+++ b/src/sharing/configurationview.cpp
@@ -0,0 +1,152 @@
+#include "sharing/configurationview.h"
+
+#include <algorithm>
+#include <map>
+
+namespace hornbeam {
+
+namespace {
+
+uint32_t toMillis(Duration duration)
+{
+    return static_cast<uint32_t>(std::chrono::duration_cast<milliseconds>(duration).count());
+}
+
+StoreRoute toMessage(const Route &route)
+{
+    StoreRoute told{ route.name, route.address, route.kind == RequestKind::Idempotent, toMillis(route.latencyTarget), toMillis(route.timeout), {} };
+    for (const RouteShare &share : route.shares) {
+        told.shares.push_back({ share.service, share.weight });
+    }
+    return told;
+}
+
+Route fromMessage(const StoreRoute &told)
+{
+    Route route;
+    route.name = told.name;
+    route.address = told.address;
+    route.kind = told.mayRepeat ? RequestKind::Idempotent : RequestKind::NonIdempotent;
+    route.latencyTarget = milliseconds(told.latencyTargetMs);
+    route.timeout = milliseconds(told.timeoutMs);
+    for (const StoreShare &share : told.shares) {
+        route.shares.push_back({ share.service, share.weight });
+    }
+    return route;
+}
+
+std::map<Endpoint, Route> byAddress(const RouteConfiguration &configuration)
+{
+    std::map<Endpoint, Route> routes;
+    for (const Route &route : configuration.routes) {
+        routes[route.address] = route;
+    }
+    return routes;
+}
+
+} // namespace
+
+ConfigurationView::ConfigurationView(size_t kept, size_t mostRoutes) : kept(kept), mostRoutes(mostRoutes)
+{
+}
+
+bool ConfigurationView::update(const RouteConfiguration &configuration, uint64_t revision)
+{
+    if (revision <= this->revision()) {
+        return false;
+    }
+    this->history.push_back({ revision, configuration });
+    if (this->history.size() > this->kept) {
+        this->history.pop_front();
+    }
+    return true;
+}
+
+void ConfigurationView::confirm(uint64_t revision, TimePoint asked)
+{
+    if (revision >= this->revision()) {
+        this->confirmed = std::max(this->confirmed, asked);
+    }
+}
+
+StoreConfigurationChanges ConfigurationView::changesSince(uint64_t revision, bool wantsWhole, TimePoint now) const
+{
+    StoreConfigurationChanges changes;
+    if (!this->isLoaded()) {
+        return changes;
+    }
+    const RouteConfiguration &newest = this->history.back().configuration;
+    changes.from = revision;
+    changes.revision = this->revision();
+    changes.ageMs = static_cast<uint32_t>(std::chrono::ceil<milliseconds>(now - this->confirmed).count());
+    changes.version = newest.version;
+    changes.idleMs = toMillis(newest.idleTimeout);
+    const Known *base = this->find(revision);
+    if (revision >= changes.revision || (base == nullptr && (revision != 0 || !wantsWhole))) {
+        return changes;
+    }
+    std::map<Endpoint, Route> before = base == nullptr ? std::map<Endpoint, Route>() : byAddress(base->configuration);
+    for (const auto &[address, route] : byAddress(newest)) {
+        const auto known = before.find(address);
+        if (known == before.end() || !(known->second == route)) {
+            changes.routes.push_back(toMessage(route));
+        }
+        if (known != before.end()) {
+            before.erase(known);
+        }
+    }
+    for (const auto &[address, route] : before) {
+        changes.removed.push_back(address);
+    }
+    changes.hasContent = base == nullptr || changes.routes.size() + changes.removed.size() <= this->mostRoutes;
+    if (!changes.hasContent) {
+        changes.routes.clear();
+        changes.removed.clear();
+    }
+    return changes;
+}
+
+std::optional<RouteConfiguration> ConfigurationView::apply(const StoreConfigurationChanges &changes) const
+{
+    const Known *base = this->find(changes.from);
+    if (!changes.hasContent || (base == nullptr && changes.from != 0)) {
+        return std::nullopt;
+    }
+    std::map<Endpoint, Route> routes = base == nullptr ? std::map<Endpoint, Route>() : byAddress(base->configuration);
+    for (const Endpoint &address : changes.removed) {
+        routes.erase(address);
+    }
+    for (const StoreRoute &told : changes.routes) {
+        routes[told.address] = fromMessage(told);
+    }
+    RouteConfiguration configuration;
+    configuration.version = changes.version;
+    configuration.idleTimeout = milliseconds(changes.idleMs);
+    for (auto &[address, route] : routes) {
+        configuration.routes.push_back(std::move(route));
+    }
+    return configuration;
+}
+
+const ConfigurationView::Known *ConfigurationView::find(uint64_t revision) const
+{
+    const auto found = std::find_if(this->history.begin(), this->history.end(), [&](const Known &known) { return known.revision == revision; });
+    return found == this->history.end() ? nullptr : &*found;
+}
+
+bool ConfigurationView::isLoaded() const
+{
+    return !this->history.empty();
+}
+
+uint64_t ConfigurationView::revision() const
+{
+    return this->history.empty() ? 0 : this->history.back().revision;
+}
+
+TimePoint ConfigurationView::confirmedAt() const
+{
+    return this->confirmed;
+}
+
+} // namespace hornbeam
--- a/src/store/objectwatcher.cpp
+++ b/src/store/objectwatcher.cpp
@@ -26,6 +26,8 @@
     const TimePoint now = this->clock.now();
     if (isWatcher && !this->isWatching && this->failures == 0) {
         this->due = now; // the role is new
+    } else if (!isWatcher && this->isWatching && !this->isBusy) {
+        this->due = now + this->settings.safetyPoll; // the role has ended
     }
     this->isWatching = isWatcher;
     if (this->isBusy || now < this->due) {
@@ -77,9 +79,10 @@
     }
     this->failures = 0;
     this->isListed = this->isWatching;
+    const uint64_t from = isWhole ? 0 : this->revision;
     this->revision = reply.revision;
     this->due = this->isWatching ? now + this->settings.pause : now + this->settings.safetyPoll;
-    this->onObjects({ reply.objects, isWhole, this->asked });
+    this->onObjects({ reply.objects, isWhole, this->asked, from, reply.revision });
 }
 
 Duration ObjectWatcher::nextBackoff()
--- a/src/store/objectwatcher.h
+++ b/src/store/objectwatcher.h
@@ -23,7 +23,9 @@
 {
     const std::vector<PlatformObject> &objects; // all of the kind, or those that changed
     bool isWhole = false;
-    TimePoint asked; // when the call began: the answer is at least as new
+    TimePoint asked;       // when the call began: the answer is at least as new
+    uint64_t from = 0;     // the changes are those after this revision, unless whole
+    uint64_t revision = 0; // of the store, up to which the answer goes
 };
 
 /** Not thread safe: the event loop that owns the PlatformApi owns it too, and it outlives its calls. */
--- a/tests/flowdaemon_test.cpp
+++ b/tests/flowdaemon_test.cpp
@@ -95,18 +95,53 @@
     REQUIRE(response.result() == http::status::created);
 }
 
+/** Registers a target of the service "booking" on loopback. */
+void createTarget(const Endpoint &store, uint16_t port)
+{
+    create(store, "servers", "i-1f",
+           { { "service", "booking" },
+             { "address", "127.0.0.1:" + std::to_string(port) },
+             { "zone", "here" },
+             { "slots", 2 },
+             { "state", "ready" },
+             { "warmupLeftMs", 0 },
+             { "born", 5 } });
+}
+
+/** Writes the first configuration: one route, to the service "booking". */
+void createConfiguration(const Endpoint &store)
+{
+    create(store, "config", "main",
+           { { "version", 1 },
+             { "routes",
+               { { { "name", "r" },
+                   { "host", "198.18.0.1" },
+                   { "pathPrefix", "/443/" },
+                   { "kind", "safe" },
+                   { "timeoutMs", 800 },
+                   { "targetLatencyMs", 120 },
+                   { "service", "booking" } } } },
+             { "services", json::array() },
+             { "limits", { { "idleTimeoutMs", 15000 } } } });
+}
+
 /** One hornbeamd with a settings file of its own. */
 struct FlowProcess
 {
-    FlowProcess(const std::string &name, const Endpoint &store) : file(std::filesystem::temp_directory_path() / (name + std::to_string(::getpid()) + ".json"))
-    {
-        const json settings{ { "name", name },
-                             { "zone", "here" },
-                             { "address", "127.0.0.1" },
-                             { "peer_port", freePort() },
-                             { "metrics_port", this->metrics.port },
-                             { "platform", toString(store) },
-                             { "flows", { { "packet_address", toString(this->packets) }, { "readiness_address", toString(this->readiness) } } } };
+    FlowProcess(const std::string &name, const Endpoint &store, const std::string &host = "127.0.0.1", uint16_t peerPort = freePort(),
+                const std::vector<std::string> &seeds = {})
+        : file(std::filesystem::temp_directory_path() / (name + std::to_string(::getpid()) + ".json"))
+    {
+        const json settings{
+            { "name", name },
+            { "zone", "here" },
+            { "address", host },
+            { "peer_port", peerPort },
+            { "metrics_port", this->metrics.port },
+            { "platform", toString(store) },
+            { "flows", { { "packet_address", toString(this->packets) }, { "readiness_address", toString(this->readiness) }, { "seed_hosts", seeds } } }
+        };
+        REQUIRE(parseEndpoint(host + ":" + std::to_string(this->metrics.port), this->metrics));
         std::ofstream(this->file) << settings;
         this->child = std::make_unique<ChildProcess>("hornbeamd", std::vector<std::string>{ "--settings", this->file.string() });
     }
@@ -169,26 +204,8 @@
     const FlowKey flow{ { 0x7F000001, 40001 }, service };
 
     REQUIRE_FALSE(first.isReady()); // nothing is known yet
-    create(store, "servers", "i-1f",
-           { { "service", "booking" },
-             { "address", "127.0.0.1:" + std::to_string(target.port()) },
-             { "zone", "here" },
-             { "slots", 2 },
-             { "state", "ready" },
-             { "warmupLeftMs", 0 },
-             { "born", 5 } });
-    create(store, "config", "main",
-           { { "version", 1 },
-             { "routes",
-               { { { "name", "r" },
-                   { "host", "198.18.0.1" },
-                   { "pathPrefix", "/443/" },
-                   { "kind", "safe" },
-                   { "timeoutMs", 800 },
-                   { "targetLatencyMs", 120 },
-                   { "service", "booking" } } } },
-             { "services", json::array() },
-             { "limits", { { "idleTimeoutMs", 15000 } } } });
+    createTarget(store, target.port());
+    createConfiguration(store);
     REQUIRE(first.waitReady());
     REQUIRE(second.waitReady());
 
@@ -252,3 +269,67 @@
         CHECK(httpGet(first.metrics, "/metrics", seconds(1))->find("dropped_total{reason=\"malformed\"} 0") == std::string::npos);
     }
 }
+
+TEST_CASE("instances of a zone share one reading of the store, and one that starts while the store is away learns from the others", "[endtoend]")
+{
+    auto platform = std::make_unique<ChildProcess>("standins-platform", std::vector<std::string>{ "--listen", "127.0.0.1:0" });
+    Endpoint store;
+    REQUIRE(parseEndpoint(platform->readLine().substr(std::string("listening ").size()), store));
+    Peer target;
+    boost::asio::io_context context;
+    const boost::asio::ip::tcp::acceptor health(context, { boost::asio::ip::address_v4::loopback(), target.port() });
+    createTarget(store, target.port());
+    createConfiguration(store);
+    const uint16_t peerPort = freePort();
+    const std::vector<std::string> seeds{ "127.0.0.2:1", "127.0.0.3" };
+    FlowProcess first("first", store, "127.0.0.2", peerPort, seeds);
+    FlowProcess second("second", store, "127.0.0.3", peerPort, seeds);
+    REQUIRE(first.waitReady());
+    REQUIRE(second.waitReady());
+    const auto members = [](const FlowProcess &process) {
+        const auto page = httpGet(process.metrics, "/members", seconds(1));
+        return page.has_value() ? json::parse(*page) : json();
+    };
+    const auto waitFor = [](const std::function<bool()> &holds) {
+        for (int i = 0; i < 100 && !holds(); ++i) {
+            std::this_thread::sleep_for(milliseconds(50));
+        }
+        return holds();
+    };
+    // the one that is asked reads; the other does not
+    REQUIRE(waitFor([&] { return members(first)["reads_targets"] != members(second)["reads_targets"]; }));
+
+    SECTION("an edit reaches both")
+    {
+        create(store, "servers", "i-2f",
+               { { "service", "booking" },
+                 { "address", "127.0.0.1:1" },
+                 { "zone", "here" },
+                 { "slots", 2 },
+                 { "state", "draining" },
+                 { "warmupLeftMs", 0 },
+                 { "born", 6 } });
+        for (const FlowProcess *process : { &first, &second }) {
+            CHECK(waitFor([&] { return httpGet(process->metrics, "/targets", seconds(1))->find("i-2f") != std::string::npos; }));
+        }
+    }
+    SECTION("the store goes away, and a third instance starts")
+    {
+        platform.reset();
+        FlowProcess third("third", store, "127.0.0.4", peerPort, seeds);
+        REQUIRE(third.waitReady());
+        const FlowKey flow{ { 0x7F000001, 40001 }, { 0xC6120001, 443 } };
+        const Peer router;
+        router.send(third.packets, makePacket(flow, true, 0, 100, ""));
+        CHECK(target.receive().size() == deliveryBytes + packetHeadBytes);
+        CHECK(members(third)["configuration"]["age_ms"] > 0);
+    }
+    SECTION("the reader stops by plan: the other reads within a second")
+    {
+        FlowProcess &reader = members(first)["reads_targets"] == true ? first : second;
+        FlowProcess &other = &reader == &first ? second : first;
+        reader.child->sendSignal(SIGTERM);
+        CHECK(waitFor([&] { return members(other)["reads_targets"] == true; }));
+        CHECK(reader.child->wait() == 0);
+    }
+}
--- a/tests/membership_test.cpp
+++ b/tests/membership_test.cpp
@@ -238,6 +238,56 @@
     }
 }
 
+TEST_CASE("instances that know three addresses only, of other zones, find their own zone and all others")
+{
+    constexpr ZoneId third = 3;
+    MembershipNet net;
+    const std::vector<size_t> seeds{ 0, 1, 2 };
+    for (size_t i = 0; i < 3; ++i) {
+        net.addKnowing(here, i == 0 ? std::vector<size_t>{} : seeds);
+    }
+    SECTION("when they start together")
+    {
+        for (size_t i = 0; i < 12; ++i) {
+            net.addKnowing(i % 2 == 0 ? there : third, seeds);
+        }
+        CHECK(net.runUntil(seconds(20), [&] { return net.agree(15); }) < seconds(10));
+    }
+    SECTION("when one starts later, and its zone learns of it within seconds")
+    {
+        for (size_t i = 0; i < 6; ++i) {
+            net.addKnowing(there, seeds);
+        }
+        REQUIRE(net.runUntil(seconds(20), [&] { return net.agree(9); }) < seconds(20));
+        const size_t late = net.addKnowing(there, seeds);
+        CHECK(net.runUntil(seconds(5), [&] { return net.at(late).eligibleIn(there).size() == 7; }) < seconds(1));
+        CHECK(net.runUntil(seconds(5), [&] { return net.stateAt(5, late) == MemberState::Alive; }) < seconds(2));
+    }
+    SECTION("when all seeds but one are down")
+    {
+        net.nodes[0]->stopped = true;
+        net.nodes[1]->stopped = true;
+        for (size_t i = 0; i < 4; ++i) {
+            net.addKnowing(there, seeds);
+        }
+        CHECK(net.runUntil(seconds(20), [&] { return net.at(4).eligibleIn(there).size() == 4; }) < seconds(5));
+    }
+    SECTION("when all seeds are down: the zone finds a member that was there before and restarts")
+    {
+        for (size_t i = 0; i < 4; ++i) {
+            net.addKnowing(there, seeds);
+        }
+        REQUIRE(net.runUntil(seconds(20), [&] { return net.at(4).eligibleIn(there).size() == 4; }) < seconds(20));
+        net.nodes[6]->stopped = true;
+        for (const size_t seed : seeds) {
+            net.nodes[seed]->stopped = true;
+        }
+        net.run(seconds(6));
+        net.restartKnowing(6, seeds);
+        CHECK(net.runUntil(seconds(20), [&] { return net.at(6).eligibleIn(there).size() == 4; }) < seconds(10));
+    }
+}
+
 TEST_CASE("a key has one owner, and owners are spread evenly")
 {
     MembershipNet net;
--- a/tests/membershipnet.h
+++ b/tests/membershipnet.h
@@ -42,13 +42,28 @@
         return index;
     }
 
+    /** Adds an instance that knows only the addresses of some others, not their zones. */
+    size_t addKnowing(ZoneId zone, const std::vector<size_t> &seeds)
+    {
+        const size_t index = this->add(zone);
+        this->restartKnowing(index, seeds);
+        return index;
+    }
+    void restartKnowing(size_t index, const std::vector<size_t> &seeds)
+    {
+        this->create(index);
+        for (const size_t seed : seeds) {
+            if (seed < this->nodes.size()) {
+                this->at(index).addSeed(this->idOf(seed), unknownZone, this->nodes[seed]->record.peer);
+            }
+        }
+    }
+
     /** Starts a process of the instance, anew when there was one. */
     void start(size_t index)
     {
-        Node &node = *this->nodes[index];
-        node.record.incarnation = this->clock.wallMillis();
-        node.membership = std::make_unique<Membership>(this->settings, node.record, this->clock, node.counters, index + 1);
-        node.stopped = false;
+        this->create(index);
+        const Node &node = *this->nodes[index];
         for (const auto &other : this->nodes) {
             if (other.get() != &node) {
                 node.membership->addSeed(other->record.id, other->record.zone, other->record.peer);
@@ -140,6 +155,14 @@
     std::function<bool(size_t from, size_t to)> isLost = [](size_t, size_t) { return false; };
 
 private:
+    void create(size_t index)
+    {
+        Node &node = *this->nodes[index];
+        node.record.incarnation = this->clock.wallMillis();
+        node.membership = std::make_unique<Membership>(this->settings, node.record, this->clock, node.counters, index + 1);
+        node.stopped = false;
+    }
+
     struct InFlight
     {
         TimePoint due;
--- /dev/null
+++ b/tests/sharingnet.h
@@ -0,0 +1,484 @@
+#pragma once
+
+// Instances of one zone on a paused clock that share their reading of a store: real watchers against a store of this process, encoded messages between them.
+
+#include "apps/storereading.h"
+#include "fakedirectory.h"
+#include "peer/codec.h"
+#include "sharing/sharedreading.h"
+#include "store/objectwatcher.h"
+
+#include <deque>
+#include <functional>
+#include <memory>
+#include <random>
+
+namespace hornbeam {
+
+/** What the store holds, and when each change was acknowledged. */
+struct SharedStore
+{
+    struct Change
+    {
+        uint64_t revision = 0;
+        TimePoint at;
+        std::string target; // empty for a configuration
+        std::optional<TargetRecord> record;
+        RouteConfiguration configuration;
+    };
+
+    uint64_t revision = 10;
+    std::map<std::string, std::pair<TargetRecord, uint64_t>> targets;
+    RouteConfiguration configuration;
+    uint64_t configurationRevision = 0;
+    std::vector<Change> changes;
+
+    void put(const TargetRecord &record, TimePoint now)
+    {
+        ++this->revision;
+        this->targets[record.name] = { record, this->revision };
+        this->changes.push_back({ this->revision, now, record.name, record, {} });
+    }
+    void remove(const std::string &name, TimePoint now)
+    {
+        ++this->revision;
+        this->targets.erase(name);
+        this->changes.push_back({ this->revision, now, name, std::nullopt, {} });
+    }
+    void configure(const RouteConfiguration &next, TimePoint now)
+    {
+        ++this->revision;
+        this->configuration = next;
+        this->configurationRevision = this->revision;
+        this->changes.push_back({ this->revision, now, "", std::nullopt, next });
+    }
+};
+
+constexpr std::string_view sharedTargets = "targets/";
+constexpr std::string_view sharedConfigurations = "configurations/";
+
+/** One instance's way to the store. */
+class StoreAccess final : public PlatformApi
+{
+public:
+    enum class State : uint8_t {
+        Good,
+        Refusing, // each call fails at once
+        Silent,   // no call is answered
+    };
+
+    StoreAccess(const SharedStore &store, const Clock &clock, Duration silence) : store(store), clock(clock), silence(silence)
+    {
+    }
+
+    void get(const std::string &, PlatformCallback) override
+    {
+    }
+    void put(const std::string &, const std::string &, const PutCondition &, PlatformCallback) override
+    {
+    }
+    void instances(PlatformCallback) override
+    {
+    }
+    void list(const std::string &prefix, PlatformCallback done) override
+    {
+        ++this->calls;
+        this->waiting.push_back({ prefix, 0, true, this->clock.now(), Duration{ 0 }, std::move(done), this->state });
+    }
+    void watch(const std::string &prefix, uint64_t after, Duration timeout, PlatformCallback done) override
+    {
+        ++this->calls;
+        this->waiting.push_back({ prefix, after, false, this->clock.now(), timeout, std::move(done), this->state });
+    }
+
+    /** Answers what is due. */
+    void tick()
+    {
+        std::vector<Call> due;
+        std::erase_if(this->waiting, [&](Call &call) {
+            const bool isDue = this->isDue(call);
+            if (isDue) {
+                due.push_back(std::move(call));
+            }
+            return isDue;
+        });
+        for (const Call &call : due) {
+            call.done(this->replyTo(call));
+        }
+    }
+    /** The process has ended. */
+    void drop()
+    {
+        this->waiting.clear();
+    }
+    void setState(State next)
+    {
+        this->state = next;
+        for (Call &call : this->waiting) {
+            call.state = next == State::Good ? call.state : next; // a connection that went silent stays so
+        }
+    }
+
+    size_t calls = 0;
+
+private:
+    struct Call
+    {
+        std::string prefix;
+        uint64_t after = 0;
+        bool isList = false;
+        TimePoint begun;
+        Duration timeout;
+        PlatformCallback done;
+        State state;
+    };
+    static constexpr Duration latency = milliseconds(4);
+
+    bool isDue(const Call &call) const
+    {
+        const Duration waited = this->clock.now() - call.begun;
+        if (call.state == State::Silent) {
+            return waited >= call.timeout + this->silence;
+        }
+        return waited >= latency && (call.isList || call.state == State::Refusing || waited >= call.timeout || !this->changesOf(call).empty());
+    }
+    std::vector<PlatformObject> changesOf(const Call &call) const
+    {
+        std::vector<PlatformObject> objects;
+        for (const SharedStore::Change &change : this->store.changes) {
+            const bool isWanted = change.target.empty() == (call.prefix == sharedConfigurations);
+            if (isWanted && change.revision > call.after) {
+                objects.push_back({ call.prefix + change.target, change.revision, "", !change.target.empty() && !change.record.has_value(), nullptr });
+            }
+        }
+        return objects;
+    }
+    PlatformReply replyTo(const Call &call) const
+    {
+        PlatformReply reply;
+        if (call.state != State::Good) {
+            return reply;
+        }
+        reply.outcome = PlatformOutcome::Ok;
+        reply.revision = this->store.revision;
+        if (!call.isList) {
+            reply.objects = this->changesOf(call);
+        } else if (call.prefix == sharedTargets) {
+            for (const auto &[name, target] : this->store.targets) {
+                reply.objects.push_back({ call.prefix + name, target.second, "", false, nullptr });
+            }
+        } else if (this->store.configurationRevision != 0) {
+            reply.objects.push_back({ call.prefix, this->store.configurationRevision, "", false, nullptr });
+        }
+        return reply;
+    }
+
+    const SharedStore &store;
+    const Clock &clock;
+    const Duration silence;
+    State state = State::Good;
+    std::vector<Call> waiting;
+};
+
+class SharingNet
+{
+public:
+    struct Node final : StoreObserver
+    {
+        explicit Node(SharingNet &net) : net(net)
+        {
+        }
+        void onTargetNews(const TargetNews &news, MemberId /*source*/) override
+        {
+            if (news.isWhole) {
+                this->targets.clear();
+            }
+            for (const TargetEntry &entry : news.updated) {
+                this->targets[entry.record.name] = entry.record;
+            }
+            for (const std::string &name : news.removed) {
+                this->targets.erase(name);
+            }
+        }
+        void onConfigurationNews(const RouteConfiguration &next, uint64_t /*revision*/, MemberId source) override
+        {
+            this->configuration = next;
+            this->configurationsTold += source == 0 ? 0 : 1;
+        }
+        void onConfigurationConfirmed(TimePoint /*asked*/) override
+        {
+        }
+        void onReadingWanted(StorePart part) override
+        {
+            (part == StorePart::Targets ? *this->targetWatcher : *this->configurationWatcher).callNow();
+        }
+        void onSourceChanged(MemberId /*before*/, MemberId /*source*/, std::string_view reason) override
+        {
+            this->reasons.emplace_back(reason);
+        }
+
+        SharingNet &net;
+        FakeDirectory directory;
+        Counters counters;
+        std::unique_ptr<StoreAccess> store;
+        std::unique_ptr<SharedReading> sharing;
+        std::unique_ptr<ObjectWatcher> targetWatcher;
+        std::unique_ptr<ObjectWatcher> configurationWatcher;
+        std::map<std::string, TargetRecord> targets; // as acted upon
+        RouteConfiguration configuration;
+        std::vector<std::string> reasons;
+        size_t configurationsTold = 0; // by other members
+        bool isFrozen = false;
+        bool isStopped = false;
+        size_t largestDatagram = 0;
+    };
+
+    static constexpr Duration step = milliseconds(10);
+    static constexpr Duration delay = milliseconds(2);
+
+    explicit SharingNet(size_t count)
+    {
+        for (size_t i = 0; i < count; ++i) {
+            this->nodes.push_back(std::make_unique<Node>(*this));
+            MemberRecord record;
+            record.id = mixHash(i, 99);
+            record.zone = 1;
+            record.incarnation = 1;
+            this->nodes.back()->directory.me = record;
+            this->members.push_back(record);
+        }
+        for (size_t i = 0; i < count; ++i) {
+            this->start(i);
+        }
+    }
+
+    /** Starts a process of the instance, anew when there was one. */
+    void start(size_t index)
+    {
+        Node &node = *this->nodes[index];
+        if (node.store != nullptr) {
+            node.store->drop();
+            ++node.directory.me.incarnation;
+        }
+        node.isStopped = false;
+        node.targets.clear();
+        node.configuration = {};
+        node.store = std::make_unique<StoreAccess>(this->store, this->clock, this->reading.silence);
+        node.sharing = std::make_unique<SharedReading>(this->reading.sharing, node.directory, this->clock, node.counters, node);
+        node.targetWatcher = std::make_unique<ObjectWatcher>(
+            *node.store, this->clock, index, std::string(sharedTargets), [this, &node](const ObjectsRead &read) { this->onTargets(node, read); },
+            this->reading.targets);
+        node.configurationWatcher = std::make_unique<ObjectWatcher>(
+            *node.store, this->clock, index, std::string(sharedConfigurations), [this, &node](const ObjectsRead &read) { this->onConfigurations(node, read); },
+            this->reading.configurations);
+        this->updateMembers();
+    }
+    /** The process dies; the others' directories still name it. */
+    void stop(size_t index)
+    {
+        this->nodes[index]->isStopped = true;
+        this->nodes[index]->store->drop();
+    }
+    /** All directories name the instances that run. */
+    void updateMembers()
+    {
+        for (const auto &node : this->nodes) {
+            node->directory.members.clear();
+            for (const auto &other : this->nodes) {
+                if (!other->isStopped) {
+                    node->directory.members.push_back(other->directory.me);
+                }
+            }
+        }
+    }
+
+    void run(Duration time)
+    {
+        for (Duration spent{}; spent < time; spent += step) {
+            this->clock.advance(step);
+            this->deliver();
+            for (size_t i = 0; i < this->nodes.size(); ++i) {
+                Node &node = *this->nodes[i];
+                if (node.isStopped || node.isFrozen) {
+                    continue;
+                }
+                node.store->tick();
+                Actions out;
+                node.sharing->tick(out);
+                this->send(i, out);
+                node.targetWatcher->tick(node.sharing->isReader(StorePart::Targets));
+                node.configurationWatcher->tick(node.sharing->isReader(StorePart::Configuration));
+            }
+            if (this->afterStep) {
+                this->afterStep();
+            }
+        }
+    }
+    /** Runs until `holds`; returns the time that it took, or `bound` when it never held. */
+    Duration runUntil(Duration bound, const std::function<bool()> &holds)
+    {
+        Duration spent{};
+        while (spent < bound && !holds()) {
+            this->run(step);
+            spent += step;
+        }
+        return spent;
+    }
+
+    /** The member that the first running instances ask; the number of nodes when there is none. */
+    size_t reader() const
+    {
+        for (const auto &node : this->nodes) {
+            for (size_t i = 0; !node->isStopped && i < this->nodes.size(); ++i) {
+                if (this->nodes[i]->directory.me.id == node->sharing->source()) {
+                    return i;
+                }
+            }
+        }
+        return this->nodes.size();
+    }
+    /** Whether all instances that run know a target as draining. */
+    bool allKnowDraining(const std::string &name, size_t except = ~size_t{ 0 }) const
+    {
+        for (size_t i = 0; i < this->nodes.size(); ++i) {
+            const Node &node = *this->nodes[i];
+            const auto found = node.targets.find(name);
+            if (i != except && !node.isStopped && !node.isFrozen && (found == node.targets.end() || !found->second.isDraining)) {
+                return false;
+            }
+        }
+        return true;
+    }
+    bool allHaveVersion(uint64_t version) const
+    {
+        return std::all_of(this->nodes.begin(), this->nodes.end(),
+                           [&](const auto &node) { return node->isStopped || node->isFrozen || node->configuration.version == version; });
+    }
+    size_t calls() const
+    {
+        size_t sum = 0;
+        for (const auto &node : this->nodes) {
+            sum += node->store->calls;
+        }
+        return sum;
+    }
+    /** Whether each instance knows all that the store had acknowledged when, by the instance's own account, it was last asked. */
+    bool areAgesTrue() const
+    {
+        for (const auto &node : this->nodes) {
+            const TimePoint targetsAsked = node->sharing->targetView().confirmedAt();
+            const TimePoint configurationAsked = node->sharing->configurationView().confirmedAt();
+            for (const SharedStore::Change &change : this->store.changes) {
+                const bool isTarget = !change.target.empty();
+                if (isTarget && change.at < targetsAsked && node->sharing->targetView().revision() < change.revision) {
+                    return false;
+                }
+                if (!isTarget && change.at < configurationAsked && node->configuration.version < change.configuration.version) {
+                    return false;
+                }
+            }
+        }
+        return true;
+    }
+
+    FlowServiceSettings flows;
+    StoreReading reading = storeReadingOf(flows);
+    ManualClock clock;
+    SharedStore store;
+    std::vector<MemberRecord> members;
+    std::vector<std::unique_ptr<Node>> nodes;
+    std::function<bool(size_t from, size_t to)> isLost = [](size_t, size_t) { return false; };
+    std::function<Duration()> extraDelay = [] { return Duration{ 0 }; };
+    std::function<void()> afterStep;
+
+private:
+    struct InFlight
+    {
+        TimePoint due;
+        size_t to = 0;
+        Bytes message;
+    };
+
+    void onTargets(Node &node, const ObjectsRead &read)
+    {
+        TargetNews news{ read.isWhole, read.from, read.revision, read.asked, {}, {} };
+        for (const PlatformObject &object : read.objects) {
+            const std::string name = object.key.substr(sharedTargets.size());
+            const auto found = this->store.targets.find(name);
+            if (found != this->store.targets.end()) {
+                news.updated.push_back({ found->second.first, found->second.second });
+            } else {
+                news.removed.push_back(name);
+            }
+        }
+        Actions out;
+        node.sharing->onStoreTargets(std::move(news), out);
+        this->send(this->indexOf(node), out);
+    }
+    void onConfigurations(Node &node, const ObjectsRead &read)
+    {
+        Actions out;
+        if (!read.objects.empty()) {
+            node.sharing->onStoreConfiguration(this->store.configuration, this->store.configurationRevision, out);
+        }
+        node.sharing->onStoreConfigurationConfirmed(read.asked);
+        this->send(this->indexOf(node), out);
+    }
+    size_t indexOf(const Node &node) const
+    {
+        size_t index = 0;
+        while (this->nodes[index].get() != &node) {
+            ++index;
+        }
+        return index;
+    }
+    void send(size_t from, const Actions &out)
+    {
+        for (const auto *queue : { &out.toPeers, &out.toStreams }) {
+            for (const MessageOut &message : *queue) {
+                this->transmit(from, message, queue == &out.toPeers);
+            }
+        }
+    }
+    void transmit(size_t from, const MessageOut &message, bool isDatagram)
+    {
+        Bytes wire = encodeMessage(message.message);
+        if (isDatagram) {
+            this->nodes[from]->largestDatagram = std::max(this->nodes[from]->largestDatagram, wire.size());
+        }
+        for (size_t to = 0; to < this->nodes.size(); ++to) {
+            if (this->nodes[to]->directory.me.id == message.peer && !this->isLost(from, to)) {
+                this->queue.push_back({ this->clock.now() + delay + this->extraDelay(), to, std::move(wire) });
+                return;
+            }
+        }
+    }
+    void deliver()
+    {
+        std::deque<InFlight> due;
+        due.swap(this->queue);
+        for (InFlight &message : due) {
+            Node &node = *this->nodes[message.to];
+            if (node.isStopped) {
+                continue;
+            }
+            if (message.due > this->clock.now() || node.isFrozen) {
+                this->queue.push_back(std::move(message)); // the kernel keeps what arrives for a frozen process
+                continue;
+            }
+            Actions out;
+            std::visit(
+                [&](const auto &typed) {
+                    if constexpr (requires { node.sharing->onMessage(typed, out); }) {
+                        node.sharing->onMessage(typed, out);
+                    }
+                },
+                *decodeMessage(message.message));
+            this->send(message.to, out);
+        }
+    }
+
+    std::deque<InFlight> queue;
+};
+
+} // namespace hornbeam
