--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -187,9 +187,8 @@
     if (ping.sender.state != MemberState::Left) {
         const MemberId peer = ping.sender.id;
         PingAck ack{ ping.sequence, this->own, this->tableDigest, this->updatesFor(peer), 0, this->contactsFor(peer) };
-        for (MemberRecord &record : this->introductionsFor(ping.sender)) {
-            ack.updates.push_back(std::move(record));
-        }
+        const std::vector<MemberRecord> introduced = this->introductionsFor(ping.sender);
+        ack.updates.insert(ack.updates.end(), introduced.begin(), introduced.end());
         out.sendToPeer(peer, std::move(ack));
     }
     this->publish();
--- a/src/sharing/sharedreading.cpp
+++ b/src/sharing/sharedreading.cpp
@@ -262,10 +262,11 @@
 bool SharedReading::isReader(StorePart part) const
 {
     const TimePoint now = this->clock.now();
+    const bool isKnown = part == StorePart::Targets ? this->targets.isLoaded() : this->configurations.isLoaded();
     const bool isAsked = this->lastAskedBy != TimePoint{} && now - this->lastAskedBy < this->settings.readerFor;
     // other members are found within the settling time, and then no call was begun in vain
-    const bool isSettled = now - this->loadedAt >= this->settings.settling;
-    return !this->isLoaded() || isAsked || (this->asked == 0 && isSettled) || this->isOutdated(part, now);
+    const bool isSettled = this->loadedAt != TimePoint{} && now - this->loadedAt >= this->settings.settling;
+    return !isKnown || isAsked || (this->asked == 0 && isSettled) || this->isOutdated(part, now);
 }
 
 bool SharedReading::isOutdated(StorePart part, TimePoint now) const
