Survivors of a zone that lost more than half step aside while another zone can take over

Cause: with fewer than half of a zone's instances ready, routers send packets to all of them, dead ones too.

Change: src/rotation decides readiness from the members (pattern: panic threshold at a partial loss of a zone). Membership probes up to 8 members at once when one is suspected, and suspects those that don't answer, so that a loss of most of a zone is seen in two or three probes of 200 ms and not in a round. A zone that is hurt asks the others; they answer whether half of them or more live. No zone relies on one that is hurt or hasn't said since the loss that it is well.

--- a/src/apps/flowdaemon.cpp
+++ b/src/apps/flowdaemon.cpp
@@ -120,7 +120,7 @@
 
     bool isReady() const
     {
-        return this->forwarder.isReady() && !this->isStopping;
+        return this->forwarder.isReady() && !this->isStopping && !this->store.isAside();
     }
 
     void note(const std::string &event, const nlohmann::ordered_json &fields)
--- a/src/apps/flowstore.cpp
+++ b/src/apps/flowstore.cpp
@@ -7,6 +7,7 @@
 #include "membership/membership.h"
 #include "platform/flowobjects.h"
 #include "platform/platformclient.h"
+#include "rotation/rotationpolicy.h"
 #include "store/objectwatcher.h"
 
 #include <map>
@@ -17,7 +18,8 @@
 namespace {
 
 constexpr Duration readNowInterval = seconds(1); // between two readings that single packets or members ask for
-constexpr size_t peerWorkers = 1;                // one event loop owns everything
+constexpr Duration rotationInterval = milliseconds(50);
+constexpr size_t peerWorkers = 1; // one event loop owns everything
 
 PlatformSettings storeSettings(const DaemonSettings &settings)
 {
@@ -62,6 +64,7 @@
         , link(
               context, Endpoint{ settings.address, settings.peerPort }, peerWorkers, keys, this->counters,
               [this](const PeerMessage &message) { this->onMessage(message); }, [this](MemberId member) { return this->membership.endpointOf(member); })
+        , rotation(RotationSettings{}, zoneIdOf(settings.zone))
         , sharing(storeReadingOf(*settings.flows).sharing, this->membership, clock, this->counters, observer)
         , client(context, this->counters, storeSettings(settings))
         , targets(
@@ -87,6 +90,7 @@
         this->membership.tick(out);
         this->sharing.tick(out);
         this->link.send(out);
+        this->updateRotation();
         this->targets.tick(this->sharing.isReader(StorePart::Targets));
         this->configurations.tick(this->sharing.isReader(StorePart::Configuration));
     }
@@ -190,6 +194,19 @@
         this->link.send(out);
     }
 
+    void updateRotation()
+    {
+        const TimePoint now = this->clock.now();
+        if (now < this->nextRotation) {
+            return;
+        }
+        this->nextRotation = now + rotationInterval;
+        if (this->rotation.update(this->membership.members(), this->membership.zoneContacts(), now)) {
+            this->note(this->rotation.isAside() ? "rotation_left" : "rotation_rejoined", { { "members", this->membership.members().size() } });
+        }
+        this->membership.setZoneHealth(this->rotation.isZoneWell());
+    }
+
     void beginLeave()
     {
         Actions out;
@@ -213,7 +230,7 @@
             live += isLive(member.state) ? 1 : 0;
         }
         return this->counters.text() + "hornbeam_members_live " + std::to_string(live) + "\nhornbeam_store_reader "
-            + (this->sharing.isReader(StorePart::Targets) ? "1" : "0") + "\n";
+            + (this->sharing.isReader(StorePart::Targets) ? "1" : "0") + "\nhornbeam_rotation_aside " + (this->rotation.isAside() ? "1" : "0") + "\n";
     }
 
     std::string membersPage() const
@@ -245,12 +262,14 @@
     Counters counters;
     Membership membership;
     PeerLink link;
+    RotationPolicy rotation;
     SharedReading sharing;
     PlatformClient client;
     ObjectWatcher targets;
     ObjectWatcher configurations;
     std::array<bool, static_cast<size_t>(StorePart::Count)> isLost{};
     std::array<TimePoint, static_cast<size_t>(StorePart::Count)> readNowAt{};
+    TimePoint nextRotation;
 };
 
 //--- The class itself
@@ -308,6 +327,11 @@
     this->impl->endLeave();
 }
 
+bool FlowStore::isAside() const
+{
+    return this->impl->rotation.isAside();
+}
+
 std::string FlowStore::metricsText() const
 {
     return this->impl->metricsText();
--- a/src/apps/flowstore.h
+++ b/src/apps/flowstore.h
@@ -46,6 +46,8 @@
     void beginLeave();
     void endLeave();
 
+    /** Whether this instance should be out of the routers' rotation, because its zone has lost more than half. */
+    bool isAside() const;
     /** Counters and gauges in the text exposition format that monitoring systems read. */
     std::string metricsText() const;
     /** The members, and where this instance learns what the store says, as JSON. */
--- a/src/apps/settings.cpp
+++ b/src/apps/settings.cpp
@@ -138,8 +138,11 @@
     settings.keyFiles = files->get<std::vector<std::string>>();
 }
 
-constexpr int heartbeatsToLapse = 3;             // missed, until the store removes an entry
-constexpr Duration lapseLag = milliseconds(500); // of the store's removal and of a heartbeat on its way
+// a false suspicion costs little where flows are forwarded: another member reads the store
+constexpr Duration flowProbeInterval = milliseconds(200);
+constexpr Duration flowProbeTimeout = milliseconds(120); // 10 round trips between zones
+constexpr int heartbeatsToLapse = 3;                     // missed, until the store removes an entry
+constexpr Duration lapseLag = milliseconds(500);         // of the store's removal and of a heartbeat on its way
 
 // addresses as a.b.c.d; a port behind one is left out, since it belongs to another interface
 void readSeedHosts(JsonFields &fields, std::vector<uint32_t> &hosts)
@@ -164,6 +167,8 @@
         return;
     }
     settings.flows.emplace();
+    settings.parts.membership.probeInterval = flowProbeInterval;
+    settings.parts.membership.probeTimeout = flowProbeTimeout;
     JsonFields part(*object, "flows", faults);
     readEndpoint(part, "packet_address", settings.flows->packets);
     readEndpoint(part, "readiness_address", settings.flows->readiness);
--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -106,6 +106,18 @@
     return this->view;
 }
 
+void Membership::setZoneHealth(bool isWell)
+{
+    const std::lock_guard lock(this->mutex);
+    this->isZoneWell = isWell;
+}
+
+std::vector<ZoneContact> Membership::zoneContacts() const
+{
+    const std::lock_guard lock(this->mutex);
+    return this->contacts.report(this->clock.now());
+}
+
 std::vector<MemberRecord> Membership::members() const
 {
     return this->currentView()->records();
@@ -181,9 +193,7 @@
         return;
     }
     this->updateFrom(ping.updates);
-    if (ping.sender.zone == this->own.zone) {
-        this->contacts.addReported(ping.contacts, this->clock.now());
-    }
+    this->takeContacts(ping.sender.zone, ping.contacts);
     if (ping.sender.state != MemberState::Left) {
         const MemberId peer = ping.sender.id;
         PingAck ack{ ping.sequence, this->own, this->tableDigest, this->updatesFor(peer), 0, this->contactsFor(peer) };
@@ -201,9 +211,8 @@
         return;
     }
     this->updateFrom(ack.updates);
-    if (ack.sender.zone == this->own.zone) {
-        this->contacts.addReported(ack.contacts, this->clock.now());
-    }
+    this->takeContacts(ack.sender.zone, ack.contacts);
+    std::erase_if(this->group, [&ack](const GroupProbe &made) { return made.sequence == ack.sequence && made.subject == ack.sender.id; });
     const MemberId answerer = ack.subject == 0 ? ack.sender.id : ack.subject;
     if (ack.sequence == this->probe.sequence && answerer == this->probe.subject) {
         this->probe.subject = 0;
@@ -337,8 +346,28 @@
 std::vector<ZoneContact> Membership::contactsFor(MemberId peer) const
 {
     const MemberEntry *entry = this->table.find(peer);
-    const bool isOwnZone = entry != nullptr && entry->record.zone == this->own.zone;
-    return isOwnZone ? this->contacts.report(this->clock.now()) : std::vector<ZoneContact>();
+    if (entry == nullptr) {
+        return {};
+    }
+    if (entry->record.zone == this->own.zone) {
+        return this->contacts.report(this->clock.now());
+    }
+    return { ZoneContact{ this->own.zone, 0, this->isZoneWell ? 0 : neverMs } };
+}
+
+/** Takes what a member says of other zones, or, when it is of another zone, of its own. */
+void Membership::takeContacts(ZoneId zone, const std::vector<ZoneContact> &told)
+{
+    const TimePoint now = this->clock.now();
+    if (zone == this->own.zone) {
+        this->contacts.addReported(told, now);
+        return;
+    }
+    for (const ZoneContact &contact : told) {
+        if (contact.zone == zone) {
+            this->contacts.addHealth(zone, contact.wellAgeMs != neverMs, now);
+        }
+    }
 }
 
 unsigned Membership::updateSends() const
--- a/src/membership/membership.h
+++ b/src/membership/membership.h
@@ -49,6 +49,7 @@
     size_t seedsContacted = 3;                    // seeds, 1 to 10: contacted per digest interval until they answer
     size_t leaveNotices = 8;                      // members, 1 to 20: told at once when this one leaves
     size_t seedsKept = 1024;                      // seeds that have not answered yet
+    size_t groupProbes = 8;                       // members, 1 to 24: probed at once when one is suspected
     size_t introductions = 8;                     // members, 1 to 24: of a caller's own zone, told to one that asks from another zone
 };
 
@@ -100,7 +101,11 @@
     TableAgreement tableAgreement() const;
     /** The members heard from since the last call whose table digest differs from ours. */
     std::vector<MemberId> takeTableDiffering();
-    /** All records, sorted by identifier, for dumps. */
+    /** Whether half of the own zone's instances or more live: told to other zones. While they don't, other zones are asked for the same. */
+    void setZoneHealth(bool isWell);
+    /** How long ago this zone heard of each other zone that is in reach, and that it is well. */
+    std::vector<ZoneContact> zoneContacts() const;
+    /** All records, sorted by identifier, this process's own among them. */
     std::vector<MemberRecord> members() const;
 
     MemberRecord self() const override;
@@ -128,6 +133,13 @@
         uint64_t askerSequence = 0;
         TimePoint sentAt;
     };
+    /** One of several probes that follow a suspicion: faults of hosts and links come in groups. */
+    struct GroupProbe
+    {
+        uint64_t sequence = 0;
+        MemberId subject = 0;
+        TimePoint sentAt;
+    };
     struct Seed
     {
         ZoneId zone = 0;
@@ -144,12 +156,16 @@
     std::vector<MemberRecord> updatesFor(MemberId peer);
     std::vector<MemberRecord> introductionsFor(const MemberRecord &stranger);
     std::vector<ZoneContact> contactsFor(MemberId peer) const;
+    void takeContacts(ZoneId zone, const std::vector<ZoneContact> &told);
     unsigned updateSends() const;
 
     void noticePause(TimePoint now);
     void checkProbe(TimePoint now, Actions &out);
     void beginProbe(TimePoint now, Actions &out);
     void askOthers(Actions &out);
+    void probeGroup(TimePoint now, Actions &out);
+    void checkGroup(TimePoint now, Actions &out);
+    void askZones(TimePoint now, Actions &out);
     MemberId nextToProbe();
 
     void tellZone(Actions &out);
@@ -183,6 +199,10 @@
     uint64_t nextSequence = 1;
     Probe probe;
     std::vector<IndirectProbe> indirect;
+    std::vector<GroupProbe> group;
+    TimePoint groupProbedAt;
+    TimePoint zonesAskedAt;
+    bool isZoneWell = true;
     std::vector<MemberId> probeOrder;
     size_t probeAt = 0;
     TimePoint lastTick;
--- a/src/membership/probes.cpp
+++ b/src/membership/probes.cpp
@@ -15,6 +15,10 @@
     const TimePoint now = this->clock.now();
     this->noticePause(now);
     this->checkProbe(now, out);
+    this->checkGroup(now, out);
+    if (!this->isZoneWell && now - this->zonesAskedAt >= this->settings.probeInterval) {
+        this->askZones(now, out);
+    }
     if (now >= this->nextProbe) {
         this->nextProbe = now + this->settings.probeInterval;
         this->beginProbe(now, out);
@@ -45,6 +49,7 @@
     }
     this->probe.subject = 0;
     this->indirect.clear();
+    this->group.clear();
     this->table.delaySuspicions(pause);
     this->contacts.delay(pause, now);
 }
@@ -61,12 +66,64 @@
         this->changed = this->table.beginSuspicion(this->probe.subject, now) || this->changed;
         this->sendPing(this->probe.subject, this->nextSequence++, out); // it may still refute
         this->probe.subject = 0;
+        this->probeGroup(now, out);
     } else if (waited >= this->settings.probeTimeout && !this->probe.asked) {
         this->probe.asked = true;
         this->askOthers(out);
     }
 }
 
+/** Probes several members at once after one was suspected, so that the loss of half a zone is seen in two intervals and not in a round of probes. */
+void Membership::probeGroup(TimePoint now, Actions &out)
+{
+    if (now - this->groupProbedAt < this->settings.probeInterval) {
+        return;
+    }
+    this->groupProbedAt = now;
+    std::vector<MemberId> subjects;
+    for (const auto &[member, entry] : this->table.all()) {
+        if (entry.record.zone == this->own.zone && isLive(entry.record.state) && entry.record.state != MemberState::Suspect) {
+            subjects.push_back(member);
+        }
+    }
+    for (const MemberId subject : this->someOf(std::move(subjects), this->settings.groupProbes)) {
+        this->group.push_back({ this->nextSequence, subject, now });
+        this->sendPing(subject, this->nextSequence++, out);
+    }
+}
+
+/** Suspects those that did not answer; they are told, and refute it when they live. */
+void Membership::checkGroup(TimePoint now, Actions &out)
+{
+    bool isAnySuspected = false;
+    std::erase_if(this->group, [&](const GroupProbe &made) {
+        if (now - made.sentAt < this->settings.probeInterval) {
+            return false;
+        }
+        isAnySuspected = this->table.beginSuspicion(made.subject, now) || isAnySuspected;
+        this->sendPing(made.subject, this->nextSequence++, out);
+        return true;
+    });
+    if (isAnySuspected) {
+        this->changed = true;
+        this->probeGroup(now, out);
+    }
+}
+
+/** Asks one member of each other zone how its zone is: the answer says so. */
+void Membership::askZones(TimePoint now, Actions &out)
+{
+    this->zonesAskedAt = now;
+    for (auto &[zone, members] : this->contactsByZone()) {
+        if (zone == this->own.zone) {
+            continue;
+        }
+        for (const MemberId member : this->someOf(std::move(members), 2)) {
+            this->sendPing(member, this->nextSequence++, out);
+        }
+    }
+}
+
 void Membership::beginProbe(TimePoint now, Actions &out)
 {
     const MemberId subject = this->nextToProbe();
--- a/src/membership/zonecontacts.cpp
+++ b/src/membership/zonecontacts.cpp
@@ -20,9 +20,19 @@
     this->heard[zone] = now;
 }
 
+void ZoneContacts::addHealth(ZoneId zone, bool isWell, TimePoint now)
+{
+    Health &known = this->health[zone];
+    (isWell ? known.wellAt : known.hurtAt) = now;
+}
+
 void ZoneContacts::addReported(const std::vector<ZoneContact> &contacts, TimePoint now)
 {
     for (const ZoneContact &contact : contacts) {
+        if (contact.wellAgeMs != neverMs) {
+            Health &known = this->health[contact.zone];
+            known.wellAt = std::max(known.wellAt, now - milliseconds(contact.wellAgeMs) - hopAge);
+        }
         const Duration age = milliseconds(contact.ageMs) + hopAge;
         if (age >= this->silence) {
             continue;
@@ -51,7 +61,12 @@
     for (const auto &[zone, at] : this->heard) {
         const Duration age = now - at;
         if (age < this->silence) {
-            contacts.push_back(ZoneContact{ zone, static_cast<uint32_t>(std::chrono::duration_cast<milliseconds>(age).count()) });
+            ZoneContact contact{ zone, static_cast<uint32_t>(std::chrono::duration_cast<milliseconds>(age).count()) };
+            const auto known = this->health.find(zone);
+            if (known != this->health.end() && known->second.wellAt > known->second.hurtAt) {
+                contact.wellAgeMs = static_cast<uint32_t>(std::chrono::duration_cast<milliseconds>(now - known->second.wellAt).count());
+            }
+            contacts.push_back(contact);
         }
     }
     return contacts;
--- a/src/membership/zonecontacts.h
+++ b/src/membership/zonecontacts.h
@@ -17,6 +17,8 @@
 
     /** A datagram or stream message of a member of `zone` arrived. */
     void addDirect(ZoneId zone, TimePoint now);
+    /** A member of `zone` says whether half of that zone's instances or more live. */
+    void addHealth(ZoneId zone, bool isWell, TimePoint now);
     /** Another member of the own zone says when it heard of other zones. */
     void addReported(const std::vector<ZoneContact> &contacts, TimePoint now);
     /** After a pause of this process: gives each zone that was reachable the short time in which others report their contacts. */
@@ -28,8 +30,16 @@
     std::vector<ZoneId> reachable(TimePoint now) const;
 
 private:
+    /** TimePoint{} for never. */
+    struct Health
+    {
+        TimePoint wellAt; // when its members last said that it was well
+        TimePoint hurtAt; // when they last said that it was not
+    };
+
     Duration silence;
     std::map<ZoneId, TimePoint> heard;
+    std::map<ZoneId, Health> health;
 };
 
 } // namespace hornbeam
--- a/src/peer/messages.h
+++ b/src/peer/messages.h
@@ -43,16 +43,19 @@
     }
 };
 
-/** How long ago the sender's zone heard of another zone. */
+constexpr uint32_t neverMs = ~0U; // an age that stands for "never"
+
+/** How long ago the sender's zone heard of another zone; or, told to a member of another zone, how the sender's own zone is. */
 struct ZoneContact
 {
     ZoneId zone = 0;
     uint32_t ageMs = 0;
+    uint32_t wellAgeMs = neverMs; // since a member of that zone said that half of its instances or more live
 
     template<typename Visitor>
     void visitFields(Visitor &visit)
     {
-        visit(this->zone, this->ageMs);
+        visit(this->zone, this->ageMs, this->wellAgeMs);
     }
 };
 
--- a/tests/membership_test.cpp
+++ b/tests/membership_test.cpp
@@ -288,6 +288,46 @@
     }
 }
 
+TEST_CASE("the loss of most of a zone at one moment is seen in a few intervals, not in a round of probes")
+{
+    for (const size_t size : { 4U, 20U }) {
+        MembershipNet net;
+        net.settings.probeInterval = milliseconds(200);
+        net.settings.probeTimeout = milliseconds(120);
+        fill(net, here, size);
+        fill(net, there, 4);
+        REQUIRE(net.runUntil(seconds(20), [&] { return net.agree(size + 4); }) < seconds(20));
+        const size_t lost = size * 3 / 4;
+        for (size_t i = 0; i < lost; ++i) {
+            net.nodes[i]->stopped = true;
+        }
+        const auto isSeenBy = [&](size_t viewer) {
+            size_t alive = 0;
+            for (const MemberRecord &record : net.at(viewer).members()) {
+                alive += record.zone == here && record.state == MemberState::Alive ? 1 : 0;
+            }
+            return alive * 2 < size;
+        };
+        const auto isSeen = [&] {
+            for (size_t i = lost; i < size; ++i) {
+                if (!isSeenBy(i)) {
+                    return false;
+                }
+            }
+            return true;
+        };
+        INFO(size);
+        CHECK(net.runUntil(seconds(5), isSeen) < milliseconds(1000));
+
+        // other zones are asked, and say that they are well
+        net.at(lost).setZoneHealth(false);
+        net.run(milliseconds(100));
+        const std::vector<ZoneContact> contacts = net.at(lost).zoneContacts();
+        REQUIRE(contacts.size() == 1);
+        CHECK(contacts.front().wellAgeMs < 300);
+    }
+}
+
 TEST_CASE("a key has one owner, and owners are spread evenly")
 {
     MembershipNet net;
