Instances find each other through the store; no control seeds

Change: one object for each zone in the store names up to three of its instances (src/store/seedlist). It is read once, 0.3 to 1.1 s after a start, and only by an instance that knows nobody yet; it is written when fewer live than it should name, by one member, under its version. Seeds of the settings stay possible and save the call. An instance that has found nobody follows the store by itself after 2 s instead of 1.2.

Ruled out: the start of the program itself (20 to 40 ms to the first configuration in both).

Conclusion: who serves what is part of what a restart costs.

--- a/src/apps/flowstore.cpp
+++ b/src/apps/flowstore.cpp
@@ -9,6 +9,7 @@
 #include "platform/platformclient.h"
 #include "rotation/rotationpolicy.h"
 #include "store/objectwatcher.h"
+#include "store/seedlist.h"
 
 #include <map>
 #include <nlohmann/json.hpp>
@@ -18,7 +19,7 @@
 namespace {
 
 constexpr Duration readNowInterval = seconds(1); // between two readings that single packets or members ask for
-constexpr Duration rotationInterval = milliseconds(50);
+constexpr Duration memberInterval = milliseconds(50);
 constexpr size_t peerWorkers = 1; // one event loop owns everything
 
 PlatformSettings storeSettings(const DaemonSettings &settings)
@@ -73,10 +74,11 @@
         , configurations(
               this->client, clock, seed + 1, std::string(configurationPrefix), [this](const ObjectsRead &read) { this->onConfigurations(read); },
               storeReadingOf(*settings.flows).configurations)
+        , seeds(this->client, clock, seed + 2, settings.zone, Endpoint{ settings.address, settings.peerPort },
+                [this](const Endpoint &peer) { this->addSeed(peer); })
     {
         for (const uint32_t host : settings.flows->seedHosts) {
-            const Endpoint peer{ host, settings.peerPort };
-            this->membership.addSeed(idAt(peer), unknownZone, peer);
+            this->addSeed({ host, settings.peerPort });
         }
         this->targets.setFailureCallback([this](const PlatformReply &reply) { this->onFailure(StorePart::Targets, reply); });
         this->configurations.setFailureCallback([this](const PlatformReply &reply) { this->onFailure(StorePart::Configuration, reply); });
@@ -90,7 +92,7 @@
         this->membership.tick(out);
         this->sharing.tick(out);
         this->link.send(out);
-        this->updateRotation();
+        this->updateMembers();
         this->targets.tick(this->sharing.isReader(StorePart::Targets));
         this->configurations.tick(this->sharing.isReader(StorePart::Configuration));
     }
@@ -194,13 +196,31 @@
         this->link.send(out);
     }
 
-    void updateRotation()
+    void addSeed(const Endpoint &peer)
+    {
+        this->membership.addSeed(idAt(peer), unknownZone, peer);
+    }
+
+    void updateSeeds()
+    {
+        const MemberRecord self = this->membership.self();
+        std::vector<Endpoint> live;
+        for (const MemberRecord &member : this->membership.eligibleIn(self.zone)) {
+            if (member.id != self.id && member.state == MemberState::Alive) {
+                live.push_back(member.peer);
+            }
+        }
+        this->seeds.tick(live, this->membership.ownerIn(self.zone, self.zone, 0) == self.id);
+    }
+
+    void updateMembers()
     {
         const TimePoint now = this->clock.now();
-        if (now < this->nextRotation) {
+        if (now < this->nextMembers) {
             return;
         }
-        this->nextRotation = now + rotationInterval;
+        this->nextMembers = now + memberInterval;
+        this->updateSeeds();
         if (this->rotation.update(this->membership.members(), this->membership.zoneContacts(), now)) {
             this->note(this->rotation.isAside() ? "rotation_left" : "rotation_rejoined", { { "members", this->membership.members().size() } });
         }
@@ -267,9 +287,10 @@
     PlatformClient client;
     ObjectWatcher targets;
     ObjectWatcher configurations;
+    SeedList seeds;
     std::array<bool, static_cast<size_t>(StorePart::Count)> isLost{};
     std::array<TimePoint, static_cast<size_t>(StorePart::Count)> readNowAt{};
-    TimePoint nextRotation;
+    TimePoint nextMembers;
 };
 
 //--- The class itself
--- a/src/sharing/sharingsettings.h
+++ b/src/sharing/sharingsettings.h
@@ -14,7 +14,7 @@
     Duration answerPatience = milliseconds(400); // beyond `hold`, until a member that was asked counts as silent; a datagram within a zone takes some ms
     Duration distrust = seconds(5);              // a member that was silent or out of date is not asked for this long; the time to restart a process
     Duration readerFor = seconds(2);             // after a question of another member, this instance reads the store itself
-    Duration settling = milliseconds(1200);      // after the first reading, until an instance that has found no other follows the store by itself
+    Duration settling = milliseconds(2000);      // after the first reading, until an instance that has found no other follows the store by itself
     Duration wholePatience = milliseconds(700);  // at the start without an answer of the store, until members are asked for everything
     Duration targetsOutdated = seconds(3);       // age of what is known of targets, from which this instance reads the store itself
     Duration configurationOutdated = seconds(3); // the same for the configuration
--- a/src/store/platformapi.h
+++ b/src/store/platformapi.h
@@ -115,6 +115,7 @@
 }
 constexpr std::string_view tablePrefix = "tables/";
 constexpr std::string_view statusPrefix = "status/";
+constexpr std::string_view seedPrefix = "seeds/";
 constexpr std::string_view instancePrefix = "instances/";
 
 /** Reads the objects of a reply as instances; leaves out those that are malformed. Thread safe. */
--- /dev/null
+++ b/tests/seedlist_test.cpp
@@ -0,0 +1,161 @@
+// Stories of instances that find each other through the store.
+
+#include "store/seedlist.h"
+
+#include <catch2/catch.hpp>
+#include <map>
+
+using namespace hornbeam;
+
+namespace {
+
+/** A store of one kind that answers at once, or loses answers, or is away. */
+class SeedStore final : public PlatformApi
+{
+public:
+    std::map<std::string, PlatformObject> objects;
+    size_t lists = 0;
+    size_t writes = 0;
+    bool isAway = false;
+    bool losesAnswers = false;
+    uint64_t revision = 100;
+
+    void get(const std::string &, PlatformCallback) override
+    {
+    }
+    void watch(const std::string &, uint64_t, Duration, PlatformCallback) override
+    {
+    }
+    void instances(PlatformCallback) override
+    {
+    }
+    void list(const std::string &prefix, PlatformCallback done) override
+    {
+        ++this->lists;
+        PlatformReply reply;
+        if (!this->isAway) {
+            reply.outcome = PlatformOutcome::Ok;
+            for (const auto &[key, object] : this->objects) {
+                if (key.starts_with(prefix)) {
+                    reply.objects.push_back(object);
+                }
+            }
+        }
+        done(std::move(reply));
+    }
+    void put(const std::string &key, const std::string &value, const PutCondition &condition, PlatformCallback done) override
+    {
+        ++this->writes;
+        PlatformReply reply;
+        const auto found = this->objects.find(key);
+        const uint64_t version = found == this->objects.end() ? 0 : found->second.version;
+        const uint64_t wanted = condition.kind == PutCondition::Kind::IfVersion ? condition.version : 0;
+        if (this->isAway) {
+            done(std::move(reply));
+            return;
+        }
+        if (version != wanted) {
+            reply.outcome = PlatformOutcome::Conflict;
+        } else {
+            this->objects[key] = { key, ++this->revision, value, false, nullptr };
+            reply.outcome = this->losesAnswers ? PlatformOutcome::Unknown : PlatformOutcome::Ok;
+            reply.version = this->revision;
+        }
+        done(std::move(reply));
+    }
+    std::vector<Endpoint> named(const std::string &zone) const
+    {
+        const auto found = this->objects.find(std::string(seedPrefix) + zone);
+        return found == this->objects.end() ? std::vector<Endpoint>{} : parseSeeds(found->second.value);
+    }
+};
+
+const Endpoint first{ 0x0A010001, 7735 };
+const Endpoint second{ 0x0A010002, 7735 };
+const Endpoint third{ 0x0A010003, 7735 };
+const Endpoint fourth{ 0x0A010004, 7735 };
+
+struct SeedBench
+{
+    SeedStore store;
+    ManualClock clock;
+    std::vector<Endpoint> told;
+    SeedList list{ store, clock, 1, "here", first, [this](const Endpoint &seed) { this->told.push_back(seed); } };
+
+    void run(Duration time, const std::vector<Endpoint> &live, bool isKeeper)
+    {
+        for (Duration passed{ 0 }; passed < time; passed += milliseconds(100)) {
+            this->clock.advance(milliseconds(100));
+            this->list.tick(live, isKeeper);
+        }
+    }
+};
+
+}
+
+TEST_CASE("an instance finds the others through the store, and the store is asked once")
+{
+    SeedBench bench;
+    SECTION("the first of its zone writes its own address")
+    {
+        bench.run(seconds(2), {}, true);
+        CHECK(bench.store.named("here") == std::vector<Endpoint>{ first });
+        SECTION("and later those of the others that it has met, once")
+        {
+            bench.run(seconds(30), { second, third, fourth }, true);
+            CHECK(bench.store.named("here") == std::vector<Endpoint>{ first, second, third });
+            CHECK(bench.store.writes == 2);
+        }
+    }
+    SECTION("a later one is told who is there, and writes nothing")
+    {
+        bench.store.objects["seeds/here"] = { "seeds/here", 7, writeSeeds({ second }), false, nullptr };
+        bench.store.objects["seeds/there"] = { "seeds/there", 8, writeSeeds({ fourth }), false, nullptr };
+        bench.run(milliseconds(1200), {}, true);
+        CHECK(bench.told == std::vector<Endpoint>{ second, fourth });
+        bench.run(seconds(60), { second }, false);
+        CHECK(bench.store.writes == 0);
+        CHECK(bench.store.lists == 1);
+    }
+    SECTION("one whose seeds of the settings answered asks nothing")
+    {
+        bench.run(seconds(60), { second }, false);
+        CHECK(bench.store.lists == 0);
+    }
+    SECTION("all that are named are gone: the zone's keeper names others")
+    {
+        bench.store.objects["seeds/here"] = { "seeds/here", 7, writeSeeds({ fourth }), false, nullptr };
+        bench.run(seconds(30), { second, third }, true);
+        CHECK(bench.store.named("here") == std::vector<Endpoint>{ first, second, third });
+    }
+    SECTION("another instance writes at the same moment: what it wrote is read")
+    {
+        bench.run(seconds(2), {}, true);
+        bench.store.objects["seeds/here"] = { "seeds/here", 900, writeSeeds({ fourth }), false, nullptr };
+        bench.run(seconds(11), { second }, true);
+        CHECK(std::find(bench.told.begin(), bench.told.end(), fourth) != bench.told.end());
+    }
+    SECTION("the answer to a write is lost: what stands there is read, and not written again")
+    {
+        bench.store.losesAnswers = true;
+        bench.run(seconds(10), {}, true);
+        CHECK(bench.store.named("here") == std::vector<Endpoint>{ first });
+        CHECK(bench.store.writes == 1);
+    }
+    SECTION("the store is away: it is asked again after a while")
+    {
+        bench.store.isAway = true;
+        bench.run(seconds(10), {}, true);
+        CHECK(bench.store.lists >= 3);
+        CHECK(bench.store.lists <= 6);
+        bench.store.isAway = false;
+        bench.run(seconds(5), {}, true);
+        CHECK(bench.store.named("here") == std::vector<Endpoint>{ first });
+    }
+    SECTION("an object of another writer names nobody")
+    {
+        for (const std::string text : { "", "{", "3", "[3,\"x\",null]", "[\"1.2.3.4:0\"]" }) {
+            CHECK(parseSeeds(text).empty());
+        }
+    }
+}
