Cold targets that count down are told once; what an answer says of an entry is read in one place

The entries of cold targets change with each heartbeat, since they say how long the target is still slow; the reader told each such change to each member of its zone.

Change: an entry that differs only by the time that has passed since it was read is neither acted upon nor told. Reading of changes moved to storereading.cpp, with stories of an entry that is removed and registered again in one answer. Stories of members and survivors whose views differ, and of a pause while aside.

Ruled out: encoding an answer once for all askers (saves processor time, no bytes).

--- a/src/apps/flowstore.cpp
+++ b/src/apps/flowstore.cpp
@@ -11,7 +11,6 @@
 #include "store/objectwatcher.h"
 #include "store/seedlist.h"
 
-#include <map>
 #include <nlohmann/json.hpp>
 
 namespace hornbeam {
@@ -111,28 +110,10 @@
     void onTargets(const ObjectsRead &read)
     {
         this->noteAnswer(StorePart::Targets);
-        std::map<std::string, std::optional<TargetEntry>> last; // an answer may tell of several changes of one entry
-        for (const PlatformObject &object : read.objects) {
-            const std::string name = object.key.substr(targetPrefix.size());
-            std::optional<TargetEntry> &entry = last[name];
-            entry.reset();
-            if (object.isDeleted) {
-                continue;
-            }
-            TargetRead target = readTarget(object);
-            if (target.record.has_value()) {
-                entry = TargetEntry{ std::move(*target.record), object.version };
-            } else {
-                this->note("target_ignored", { { "target", name }, { "revision", object.version }, { "problem", target.problem } });
-            }
-        }
-        TargetNews news{ read.isWhole, read.from, read.revision, read.asked, {}, {} };
-        for (auto &[name, entry] : last) {
-            if (entry.has_value()) {
-                news.updated.push_back(std::move(*entry));
-            } else {
-                news.removed.push_back(name);
-            }
+        std::vector<IgnoredTarget> ignored;
+        TargetNews news = targetNewsOf(read, ignored);
+        for (const IgnoredTarget &target : ignored) {
+            this->note("target_ignored", { { "target", target.name }, { "revision", target.revision }, { "problem", target.problem } });
         }
         Actions out;
         this->sharing.onStoreTargets(std::move(news), out);
--- a/src/apps/storereading.cpp
+++ b/src/apps/storereading.cpp
@@ -1,6 +1,9 @@
 #include "apps/storereading.h"
 
+#include "platform/flowobjects.h"
+
 #include <algorithm>
+#include <map>
 
 namespace hornbeam {
 
@@ -45,6 +48,34 @@
     return reading;
 }
 
+TargetNews targetNewsOf(const ObjectsRead &read, std::vector<IgnoredTarget> &ignored)
+{
+    std::map<std::string, std::optional<TargetEntry>> last;
+    for (const PlatformObject &object : read.objects) {
+        const std::string name = object.key.substr(targetPrefix.size());
+        std::optional<TargetEntry> &entry = last[name];
+        entry.reset();
+        if (object.isDeleted) {
+            continue;
+        }
+        TargetRead target = readTarget(object);
+        if (target.record.has_value()) {
+            entry = TargetEntry{ std::move(*target.record), object.version };
+        } else {
+            ignored.push_back({ name, object.version, target.problem });
+        }
+    }
+    TargetNews news{ read.isWhole, read.from, read.revision, read.asked, {}, {} };
+    for (auto &[name, entry] : last) {
+        if (entry.has_value()) {
+            news.updated.push_back(std::move(*entry));
+        } else {
+            news.removed.push_back(name);
+        }
+    }
+    return news;
+}
+
 FlowSettings withFreshness(const FlowServiceSettings &flows)
 {
     FlowSettings settings = flows.parts;
--- a/src/apps/storereading.h
+++ b/src/apps/storereading.h
@@ -4,6 +4,7 @@
 
 #include "apps/settings.h"
 #include "sharing/sharingsettings.h"
+#include "sharing/targetview.h"
 #include "store/objectwatcher.h"
 
 namespace hornbeam {
@@ -17,6 +18,17 @@
     Duration freshness{ 0 }; // longest time between two confirmations of the configuration while all calls succeed
 };
 
+/** An entry that names no target that can be used. */
+struct IgnoredTarget
+{
+    std::string name;
+    uint64_t revision = 0;
+    std::string problem;
+};
+
+/** What an answer of the store says of targets. Of several changes of one entry the last counts; an entry that can't be used counts as removed. Thread safe. */
+TargetNews targetNewsOf(const ObjectsRead &read, std::vector<IgnoredTarget> &ignored);
+
 /** Derives waits and pauses from the bounds. Thread safe. */
 StoreReading storeReadingOf(const FlowServiceSettings &flows);
 /** The tunables of the forwarding; a configuration counts as fresh at least as long as its reading takes. Thread safe. */
--- a/src/sharing/targetview.cpp
+++ b/src/sharing/targetview.cpp
@@ -7,6 +7,7 @@
 
 namespace {
 constexpr size_t gapsKept = 16;
+constexpr Duration countdownDrift = seconds(2); // of an entry's remaining time, from the write to the reading
 }
 
 StoreTarget toMessage(const TargetEntry &entry, Duration sinceRead)
@@ -59,9 +60,9 @@
     if (news.isWhole) {
         return this->takeWhole(std::move(news), now);
     }
-    std::erase_if(news.updated, [this](const TargetEntry &entry) {
+    std::erase_if(news.updated, [&](const TargetEntry &entry) {
         const auto known = this->entries.find(entry.record.name);
-        return known != this->entries.end() && known->second.entry.revision >= entry.revision;
+        return known != this->entries.end() && (known->second.entry.revision >= entry.revision || isCountdown(known->second, entry, now));
     });
     for (const TargetEntry &entry : news.updated) {
         this->add(entry, now);
@@ -76,7 +77,10 @@
     std::set<std::string> names;
     for (const TargetEntry &entry : news.updated) {
         names.insert(entry.record.name);
-        this->add(entry, now);
+        const auto known = this->entries.find(entry.record.name);
+        if (known == this->entries.end() || !isCountdown(known->second, entry, now)) {
+            this->add(entry, now);
+        }
     }
     std::vector<std::string> absent;
     for (const auto &[name, known] : this->entries) {
@@ -96,6 +100,16 @@
     return news;
 }
 
+// a cold target rewrites its entry with less time left: that needs neither to be acted upon nor told
+bool TargetView::isCountdown(const Known &known, const TargetEntry &entry, TimePoint now)
+{
+    TargetRecord expected = known.entry.record;
+    expected.warmupLeft = entry.record.warmupLeft;
+    const Duration left = std::max(Duration{ 0 }, known.entry.record.warmupLeft - (now - known.readAt));
+    const Duration drift = left > entry.record.warmupLeft ? left - entry.record.warmupLeft : entry.record.warmupLeft - left;
+    return expected == entry.record && drift <= countdownDrift;
+}
+
 void TargetView::add(const TargetEntry &entry, TimePoint now)
 {
     this->entries[entry.record.name] = Known{ entry, now };
--- a/src/sharing/targetview.h
+++ b/src/sharing/targetview.h
@@ -68,6 +68,7 @@
         TimePoint at;
     };
 
+    static bool isCountdown(const Known &known, const TargetEntry &entry, TimePoint now);
     TargetNews takeWhole(TargetNews news, TimePoint now);
     void add(const TargetEntry &entry, TimePoint now);
     bool remove(const std::string &name, uint64_t revision, TimePoint now);
--- a/tests/flowplatform_test.cpp
+++ b/tests/flowplatform_test.cpp
@@ -1,5 +1,6 @@
 // Stories of what the users' platform speaks: packet heads, the store's objects, malformed ones among them.
 
+#include "apps/storereading.h"
 #include "platform/flowobjects.h"
 #include "platform/packethead.h"
 #include "platform/platformcodec.h"
@@ -206,3 +207,52 @@
         CHECK_FALSE(readEvents("", "servers/", reply));
     }
 }
+
+TEST_CASE("of several changes of one entry in an answer the last counts")
+{
+    const auto entry = [](const std::string &name, uint64_t version, uint64_t born) {
+        PlatformObject object;
+        object.key = std::string(targetPrefix) + name;
+        object.version = version;
+        object.content = std::make_shared<const json>(json{ { "service", "booking" },
+                                                            { "address", "10.1.64.1:8000" },
+                                                            { "zone", "here" },
+                                                            { "slots", 2U },
+                                                            { "state", "ready" },
+                                                            { "warmupLeftMs", 0U },
+                                                            { "born", born } });
+        return object;
+    };
+    const auto removal = [&](const std::string &name, uint64_t version) {
+        PlatformObject object = entry(name, version, 1);
+        object.isDeleted = true;
+        return object;
+    };
+    std::vector<IgnoredTarget> ignored;
+
+    SECTION("removed, and registered again under its name")
+    {
+        const std::vector<PlatformObject> objects{ removal("i-1f", 11), entry("i-1f", 12, 2) };
+        const TargetNews news = targetNewsOf({ objects, false, TimePoint{}, 10, 12 }, ignored);
+        CHECK(news.removed.empty());
+        REQUIRE(news.updated.size() == 1);
+        CHECK(news.updated.front().record.incarnation == 2);
+        CHECK(news.updated.front().revision == 12);
+    }
+    SECTION("registered, and removed again")
+    {
+        const std::vector<PlatformObject> objects{ entry("i-1f", 11, 2), removal("i-1f", 12) };
+        const TargetNews news = targetNewsOf({ objects, false, TimePoint{}, 10, 12 }, ignored);
+        CHECK(news.updated.empty());
+        CHECK(news.removed == std::vector<std::string>{ "i-1f" });
+    }
+    SECTION("overwritten with something that names no target")
+    {
+        PlatformObject broken = entry("i-1f", 12, 2);
+        broken.content = std::make_shared<const json>(json{ { "state", "odd" } });
+        const std::vector<PlatformObject> objects{ entry("i-1f", 11, 2), broken };
+        const TargetNews news = targetNewsOf({ objects, false, TimePoint{}, 10, 12 }, ignored);
+        CHECK(news.removed.size() == 1);
+        CHECK(ignored.size() == 1);
+    }
+}
--- a/tests/rotation_test.cpp
+++ b/tests/rotation_test.cpp
@@ -183,6 +183,35 @@
     }
 }
 
+TEST_CASE("an instance that stood still while it was aside acts on nothing that it was told before")
+{
+    RotationBench bench;
+    bench.run(seconds(1));
+    bench.set(here, 3, MemberState::Dead);
+    bench.run(seconds(2));
+    REQUIRE(bench.policy.isAside());
+    bench.now += seconds(10); // no zone said anything meanwhile
+    bench.run(milliseconds(50), {});
+    CHECK_FALSE(bench.policy.isAside());
+}
+
+TEST_CASE("survivors whose views differ: each is ready or not by its own, and both come to the same within the next probes")
+{
+    RotationBench one;
+    RotationBench other;
+    one.run(seconds(1));
+    other.run(seconds(1));
+    one.set(here, 3, MemberState::Suspect);
+    other.set(here, 1, MemberState::Suspect); // it has found one only
+    one.run(milliseconds(400));
+    other.run(milliseconds(400));
+    CHECK(one.policy.isAside());
+    CHECK_FALSE(other.policy.isAside());
+    other.set(here, 3, MemberState::Suspect);
+    other.run(milliseconds(400));
+    CHECK(other.policy.isAside());
+}
+
 TEST_CASE("an instance that starts in the middle of a loss is ready until it knows better")
 {
     RotationBench bench;
--- a/tests/sharing_test.cpp
+++ b/tests/sharing_test.cpp
@@ -279,6 +279,29 @@
     }
 }
 
+TEST_CASE("members whose views of the zone differ: two read for a while, and nothing is told that is not so")
+{
+    Zone zone;
+    const size_t reader = zone.reader();
+    REQUIRE(reader < zoneSize);
+    for (size_t i = 0; i < zoneSize; i += 2) { // half of the members have lost sight of the reader
+        std::erase_if(zone.at(i).directory.members, [&](const MemberRecord &member) { return member.id == zone.at(reader).directory.me.id && i != reader; });
+    }
+    bool areAgesTrue = true;
+    zone.afterStep = [&] { areAgesTrue = areAgesTrue && zone.areAgesTrue(); };
+    zone.run(seconds(2));
+    CHECK(zone.drain("target-1") < milliseconds(1000));
+    zone.store.remove("target-2", zone.clock.now());
+    zone.run(seconds(2));
+    size_t readers = 0;
+    for (const auto &node : zone.nodes) {
+        readers += node->sharing->isReader(StorePart::Targets) ? 1 : 0;
+        CHECK_FALSE(node->targets.contains("target-2"));
+    }
+    CHECK(readers == 2);
+    CHECK(areAgesTrue);
+}
+
 TEST_CASE("an answer to an earlier question, of an earlier process or of a member that was given up changes nothing")
 {
     Zone zone(3);
@@ -383,6 +406,43 @@
     CHECK(held);
 }
 
+TEST_CASE("thundering news: targets that count down their cold start are told once, not with each of their heartbeats")
+{
+    TargetView view(seconds(60));
+    TimePoint now{ seconds(100) };
+    TargetRecord cold = makeTarget("cold");
+    cold.warmupLeft = seconds(8);
+    REQUIRE(view.update({ true, 0, 40, now, { { cold, 40 } }, {} }, now).has_value());
+    for (uint64_t revision = 41; revision < 45; ++revision) {
+        now += seconds(2);
+        cold.warmupLeft -= seconds(2);
+        const auto news = view.update({ false, revision - 1, revision, now, { { cold, revision } }, {} }, now);
+        REQUIRE(news.has_value());
+        CHECK(news->updated.empty());
+        CHECK_FALSE(view.hasChangedSince(40));
+    }
+    CHECK(view.revision() == 44);
+    CHECK(view.changesSince(40, now).updated.empty());
+
+    SECTION("what changes besides is told")
+    {
+        cold.isDraining = true;
+        REQUIRE(view.update({ false, 44, 45, now, { { cold, 45 } }, {} }, now).has_value());
+        CHECK(view.changesSince(44, now).updated.size() == 1);
+    }
+    SECTION("a cold start that begins anew is told")
+    {
+        cold.warmupLeft = seconds(8);
+        REQUIRE(view.update({ false, 44, 45, now, { { cold, 45 } }, {} }, now).has_value());
+        CHECK(view.changesSince(44, now).updated.size() == 1);
+    }
+    SECTION("one that starts now is told how much is left")
+    {
+        now += seconds(1);
+        CHECK(view.changesSince(0, now).updated.front().coldForMs == 0);
+    }
+}
+
 TEST_CASE("a target that came and went between two answers is told to a member that has seen it")
 {
     const TimePoint now{ seconds(100) };
