Everything is asked of a member only once the store has failed; lists wait longer for their first byte

Change: members are asked for everything 0.7 s after the start when a call has failed, else after 5 s. A page of a list may take 3 s to begin, since all that start at once share the store's link; watches keep 1 s.

--- a/src/apps/flowstore.cpp
+++ b/src/apps/flowstore.cpp
@@ -26,6 +26,7 @@
     PlatformSettings store;
     store.endpoint = settings.platform;
     store.callTimeout = storeReadingOf(*settings.flows).silence;
+    store.listTimeout = storeReadingOf(*settings.flows).listSilence;
     return store;
 }
 
@@ -143,6 +144,7 @@
     void onFailure(StorePart part, const PlatformReply &reply)
     {
         this->isLost[static_cast<size_t>(part)] = true;
+        this->sharing.onStoreFailure();
         this->note("store_lost", { { "reading", nameOf(part) }, { "outcome", nameOf(reply.outcome) }, { "problem", reply.problem } });
     }
 
--- a/src/apps/storereading.cpp
+++ b/src/apps/storereading.cpp
@@ -9,6 +9,7 @@
 
 namespace {
 constexpr milliseconds storeSilence(1000); // 4 ms is usual, 0.4 s when the store is slow
+constexpr milliseconds listSilence(3000);  // 300 instances that start at once and read 1 MB each fill the store's link of 1,000 Mbit/s for 2.4 s
 constexpr milliseconds watchMargin(500);   // for the call that follows a lost one
 constexpr milliseconds changePause(300);   // changes of a release come in groups
 constexpr milliseconds ownReading(500);    // of a bound, for the reading that begins when what members tell is outdated
@@ -42,6 +43,7 @@
     reading.targets = watcherSettings(flows, flows.drainBound, reading.sharing);
     reading.configurations = watcherSettings(flows, flows.changeBound, reading.sharing);
     reading.silence = storeSilence;
+    reading.listSilence = listSilence;
     reading.sharing.targetsOutdated = outdatedAfter(reading.targets.watchTimeout, reading.sharing);
     reading.sharing.configurationOutdated = outdatedAfter(reading.configurations.watchTimeout, reading.sharing);
     reading.freshness = reading.sharing.configurationOutdated + storeSilence;
--- a/src/apps/storereading.h
+++ b/src/apps/storereading.h
@@ -14,8 +14,9 @@
     WatcherSettings targets;
     WatcherSettings configurations;
     SharingSettings sharing;
-    Duration silence{ 0 };   // of the store within an answer, before the call is given up
-    Duration freshness{ 0 }; // longest time between two confirmations of the configuration while all calls succeed
+    Duration listSilence{ 0 }; // the same for a page of a list
+    Duration silence{ 0 };     // of the store within an answer, before the call is given up
+    Duration freshness{ 0 };   // longest time between two confirmations of the configuration while all calls succeed
 };
 
 /** An entry that names no target that can be used. */
--- a/src/sharing/sharedreading.cpp
+++ b/src/sharing/sharedreading.cpp
@@ -56,6 +56,11 @@
     this->configurations.confirm(this->configurations.revision(), asked);
 }
 
+void SharedReading::onStoreFailure()
+{
+    this->hasStoreFailed = true;
+}
+
 //--- Questions of members
 
 void SharedReading::onMessage(const StoreAsk &ask, Actions &out)
@@ -210,8 +215,9 @@
 // asks the others, even when it comes first
 MemberId SharedReading::chooseSource(TimePoint now) const
 {
-    if (!this->isLoaded() && now - this->startedAt < this->settings.wholePatience) {
-        return 0;
+    const Duration patience = this->hasStoreFailed ? this->settings.failedPatience : this->settings.wholePatience;
+    if (!this->isLoaded() && now - this->startedAt < patience) {
+        return 0; // everything from a member costs its link as much as the list costs the store's
     }
     const bool isUpToDate = this->isLoaded() && !this->isOutdated(StorePart::Targets, now) && !this->isOutdated(StorePart::Configuration, now);
     const MemberRecord self = this->members.self();
--- a/src/sharing/sharedreading.h
+++ b/src/sharing/sharedreading.h
@@ -60,6 +60,8 @@
     void onStoreTargets(TargetNews news, Actions &out);
     /** Takes a configuration that the store named. */
     void onStoreConfiguration(const RouteConfiguration &configuration, uint64_t revision, Actions &out);
+    /** The store refused a call or did not answer. */
+    void onStoreFailure();
     /** The store, asked at `asked`, named no other configuration than those taken. */
     void onStoreConfigurationConfirmed(TimePoint asked);
 
@@ -116,6 +118,7 @@
     std::map<MemberId, TimePoint> distrustedUntil;
     std::map<MemberId, Waiting> waiting; // by asker
     TimePoint lastAskedBy;               // when a member last put a question
+    bool hasStoreFailed = false;         // since the start
     TimePoint loadedAt;                  // when everything was first known
     TimePoint nextExpiry;
 };
--- a/src/sharing/sharingsettings.h
+++ b/src/sharing/sharingsettings.h
@@ -15,7 +15,8 @@
     Duration distrust = seconds(5);              // a member that was silent or out of date is not asked for this long; the time to restart a process
     Duration readerFor = seconds(2);             // after a question of another member, this instance reads the store itself
     Duration settling = milliseconds(2000);      // after the first reading, until an instance that has found no other follows the store by itself
-    Duration wholePatience = milliseconds(700);  // at the start without an answer of the store, until members are asked for everything
+    Duration wholePatience = seconds(5); // at the start without an answer of the store, until members are asked for everything; 1 MB at 10 Mbit/s takes 0.8 s
+    Duration failedPatience = milliseconds(700); // the same once the store has failed
     Duration targetsOutdated = seconds(3);       // age of what is known of targets, from which this instance reads the store itself
     Duration configurationOutdated = seconds(3); // the same for the configuration
     Duration removalsKept = seconds(60);         // how long removed targets are remembered, to tell members that were away
--- a/tests/sharing_test.cpp
+++ b/tests/sharing_test.cpp
@@ -333,6 +333,19 @@
     CHECK(zone.at(follower).sharing->targetView().revision() <= zone.store.revision);
 }
 
+TEST_CASE("retry storm: all members start at once before a store that answers slowly; none asks another for everything")
+{
+    Zone zone;
+    zone.storeLatency = milliseconds(1500);
+    for (size_t i = 0; i < zoneSize; ++i) {
+        zone.start(i);
+    }
+    const uint64_t before = zone.sum(Counter::StoreAsksSent);
+    zone.run(milliseconds(1400));
+    CHECK(zone.sum(Counter::StoreAsksSent) == before);
+    CHECK(zone.runUntil(seconds(10), [&] { return zone.allHaveVersion(1); }) < seconds(1));
+}
+
 TEST_CASE("a member that was away for longer than removals are remembered reads the store itself")
 {
     Zone zone;
--- a/tests/sharingnet.h
+++ b/tests/sharingnet.h
@@ -67,7 +67,8 @@
         Silent,   // no call is answered
     };
 
-    StoreAccess(const SharedStore &store, const Clock &clock, Duration silence) : store(store), clock(clock), silence(silence)
+    StoreAccess(const SharedStore &store, const Clock &clock, Duration silence, const Duration &latency)
+        : store(store), clock(clock), silence(silence), latency(latency)
     {
     }
 
@@ -132,7 +133,6 @@
         PlatformCallback done;
         State state;
     };
-    static constexpr Duration latency = milliseconds(4);
 
     bool isDue(const Call &call) const
     {
@@ -176,6 +176,7 @@
     const SharedStore &store;
     const Clock &clock;
     const Duration silence;
+    const Duration &latency; // of an answer
     State state = State::Good;
     std::vector<Call> waiting;
 };
@@ -263,7 +264,7 @@
         node.isStopped = false;
         node.targets.clear();
         node.configuration = {};
-        node.store = std::make_unique<StoreAccess>(this->store, this->clock, this->reading.silence);
+        node.store = std::make_unique<StoreAccess>(this->store, this->clock, this->reading.silence, this->storeLatency);
         node.sharing = std::make_unique<SharedReading>(this->reading.sharing, node.directory, this->clock, node.counters, node);
         node.targetWatcher = std::make_unique<ObjectWatcher>(
             *node.store, this->clock, index, std::string(sharedTargets), [this, &node](const ObjectsRead &read) { this->onTargets(node, read); },
@@ -271,6 +272,9 @@
         node.configurationWatcher = std::make_unique<ObjectWatcher>(
             *node.store, this->clock, index, std::string(sharedConfigurations), [this, &node](const ObjectsRead &read) { this->onConfigurations(node, read); },
             this->reading.configurations);
+        for (const auto &watcher : { node.targetWatcher.get(), node.configurationWatcher.get() }) {
+            watcher->setFailureCallback([&node](const PlatformReply &) { node.sharing->onStoreFailure(); });
+        }
         this->updateMembers();
     }
     /** The process dies; the others' directories still name it. */
@@ -385,6 +389,7 @@
     StoreReading reading = storeReadingOf(flows);
     ManualClock clock;
     SharedStore store;
+    Duration storeLatency = milliseconds(4);
     std::vector<MemberRecord> members;
     std::vector<std::unique_ptr<Node>> nodes;
     std::function<bool(size_t from, size_t to)> isLost = [](size_t, size_t) { return false; };
