Members don't ask on and on while the store is read for what can't be told

Cause: a configuration that differs in more than 64 routes, and changes since a revision that the reader can't tell from, are answered at once with nothing to apply; the asker read the store and asked again at once, with the revision that it still had, until its own list had arrived: one question and answer a round trip from each member of the zone. Found by reading the code; the story "retry storm: while members read the store" failed first (722 questions of 20 members in 0.8 s and a clock of 10 ms, bound 240).

Change: after an answer that can't be used the next question waits as long as a question is held (0.5 s).

Ruled out before as the cause of a reader's 347 KB/s at 300 instances: countdowns of cold targets, whole lists at the start.

Measured: the story and the property of six members pass.

--- a/src/rotation/rotationpolicy.h
+++ b/src/rotation/rotationpolicy.h
@@ -38,7 +38,7 @@
     RotationPolicy(const RotationSettings &settings, ZoneId ownZone);
 
     /**
-     * Takes what is known now: all members, this instance included, dead and departed ones too, and how long ago other zones were heard.
+     * Takes what is known now: all members, this instance included, dead and departed ones too, and how long ago other zones said that they are well.
      * Returns whether the answer changed. Call it about each 50 ms.
      */
     bool update(const std::vector<MemberRecord> &members, const std::vector<ZoneContact> &contacts, TimePoint now);
--- a/src/sharing/sharedreading.cpp
+++ b/src/sharing/sharedreading.cpp
@@ -135,7 +135,10 @@
         this->counters.add(Counter::StoreNewsOutdated);
         this->distrust(news.sender, isEmpty ? "knows_nothing" : "outdated", now);
     }
-    if (this->asked != 0) {
+    // what can't be told is read from the store: until then each further question would be answered at once with nothing
+    const bool isUntold = news.targets.revision == 0 || news.configuration.revision > this->configurations.revision();
+    this->nextAsk = isUntold ? now + this->settings.hold : now;
+    if (this->asked != 0 && !isUntold) {
         this->ask(now, out);
     }
 }
@@ -200,7 +203,7 @@
     if (next != this->asked) {
         this->changeSource(next, "members_changed");
     }
-    if (this->asked != 0 && this->question.sequence == 0) {
+    if (this->asked != 0 && this->question.sequence == 0 && now >= this->nextAsk) {
         this->ask(now, out);
     }
     this->answerWaiting(out);
@@ -241,6 +244,7 @@
     const MemberId before = this->asked;
     this->asked = next;
     this->question = {};
+    this->nextAsk = {};
     this->observer.onSourceChanged(before, next, reason);
 }
 
--- a/src/sharing/sharedreading.h
+++ b/src/sharing/sharedreading.h
@@ -114,6 +114,7 @@
     const TimePoint startedAt;
     MemberId asked = 0; // the member that is asked for news
     Question question;
+    TimePoint nextAsk;
     uint64_t nextSequence = 1;
     std::map<MemberId, TimePoint> distrustedUntil;
     std::map<MemberId, Waiting> waiting; // by asker
--- a/tests/sharing_test.cpp
+++ b/tests/sharing_test.cpp
@@ -346,6 +346,31 @@
     CHECK(zone.runUntil(seconds(10), [&] { return zone.allHaveVersion(1); }) < seconds(1));
 }
 
+TEST_CASE("retry storm: while members read the store for what can't be told, they don't ask on and on")
+{
+    Zone zone;
+    zone.storeLatency = milliseconds(800);
+    const uint64_t before = zone.sum(Counter::StoreAsksSent);
+
+    SECTION("a configuration that differs in too many routes")
+    {
+        zone.store.configure(withRoutes(2, 400), zone.clock.now());
+        CHECK(zone.runUntil(seconds(10), [&] { return zone.allHaveVersion(2); }) < seconds(5));
+        CHECK(zone.sum(Counter::StoreAsksSent) - before < zoneSize * 12);
+    }
+    SECTION("targets changed since a revision that the reader can't tell from")
+    {
+        const size_t reader = zone.reader();
+        zone.start(reader); // knows only what the store lists from now on
+        for (size_t i = 0; i < 20; ++i) {
+            zone.store.put(draining("target-" + std::to_string(i)), zone.clock.now());
+            zone.run(milliseconds(150));
+        }
+        CHECK(zone.runUntil(seconds(10), [&] { return zone.allKnowDraining("target-19"); }) < seconds(3));
+        CHECK(zone.sum(Counter::StoreAsksSent) - before < zoneSize * 60);
+    }
+}
+
 TEST_CASE("a member that was away for longer than removals are remembered reads the store itself")
 {
     Zone zone;
