Instances that start later know their zone at once

Change: only at the first start of the whole system (first_start, from the deployment) the first reading of seeds waits; an instance that is alone contacts a seed when it is told of it.

Conclusion: what an instance knows of its zone must be there within the time in which a zone can be lost.

--- a/src/apps/flowstore.cpp
+++ b/src/apps/flowstore.cpp
@@ -30,6 +30,13 @@
     return store;
 }
 
+SeedSettings seedSettings(const FlowServiceSettings &flows)
+{
+    SeedSettings settings;
+    settings.isFirstStart = flows.isFirstStart;
+    return settings;
+}
+
 // instances know seeds by their addresses only, so that an address is what a member is known by
 MemberId idAt(const Endpoint &peer)
 {
@@ -74,8 +81,9 @@
         , configurations(
               this->client, clock, seed + 1, std::string(configurationPrefix), [this](const ObjectsRead &read) { this->onConfigurations(read); },
               storeReadingOf(*settings.flows).configurations)
-        , seeds(this->client, clock, seed + 2, settings.zone, Endpoint{ settings.address, settings.peerPort },
-                [this](const Endpoint &peer) { this->addSeed(peer); })
+        , seeds(
+              this->client, clock, seed + 2, settings.zone, Endpoint{ settings.address, settings.peerPort },
+              [this](const Endpoint &peer) { this->addSeed(peer); }, seedSettings(*settings.flows))
     {
         for (const uint32_t host : settings.flows->seedHosts) {
             this->addSeed({ host, settings.peerPort });
--- a/src/apps/settings.cpp
+++ b/src/apps/settings.cpp
@@ -183,6 +183,7 @@
     readBound("change_bound_ms", 2500, settings.flows->changeBound);
     readBound("stability_ms", 2000, settings.flows->stability);
     readSeedHosts(part, settings.flows->seedHosts);
+    part.flag("first_start", settings.flows->isFirstStart);
     part.name("peer_group", settings.flows->peerGroup);
     settings.flows->parts.entryLapse = heartbeatsToLapse * settings.flows->targetHeartbeat + lapseLag;
     readFlowTunables(part, settings.flows->parts);
@@ -320,6 +321,7 @@
         for (const uint32_t host : settings.flows->seedHosts) {
             object["flows"]["seed_hosts"].push_back(addressText(host));
         }
+        object["flows"]["first_start"] = settings.flows->isFirstStart;
         object["flows"]["peer_group"] = settings.flows->peerGroup;
         writeFlowTunables(settings.flows->parts, object["flows"]);
     }
--- a/src/apps/settings.h
+++ b/src/apps/settings.h
@@ -33,6 +33,7 @@
     Duration changeBound = seconds(3);             // from the store's acknowledgement of a configuration to its being in force
     Duration stability = seconds(4);               // after a failure, until what it left behind must be made good
     std::vector<uint32_t> seedHosts;               // IPv4 addresses of some instances, which may be down; all use the same peer_port
+    bool isFirstStart = false;                     // of the whole system: nobody has written seeds to the store yet
     std::string peerGroup = "hornbeamrouter";      // instances of one deployment share it; signs their messages where there are no key files
 };
 
--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -42,6 +42,9 @@
         return;
     }
     this->seeds[member] = Seed{ zone, peer };
+    if (this->table.all().empty()) {
+        this->nextDigest = this->clock.now(); // contacted at once
+    }
 }
 
 std::optional<Endpoint> Membership::endpointOf(MemberId member) const
--- a/src/store/seedlist.cpp
+++ b/src/store/seedlist.cpp
@@ -37,7 +37,7 @@
 {
     std::minstd_rand random(static_cast<std::minstd_rand::result_type>(seed));
     std::uniform_int_distribution<Duration::rep> jitter(0, settings.jitter.count());
-    this->due = clock.now() + settings.firstRead + Duration(jitter(random));
+    this->due = clock.now() + (settings.isFirstStart ? settings.firstRead + Duration(jitter(random)) : Duration{ 0 });
 }
 
 void SeedList::tick(const std::vector<Endpoint> &live, bool isKeeper)
--- a/src/store/seedlist.h
+++ b/src/store/seedlist.h
@@ -11,7 +11,8 @@
 
 struct SeedSettings
 {
-    Duration firstRead = milliseconds(300); // after the start, when seeds of the settings had time to answer
+    bool isFirstStart = false;              // of the whole system: the first reading waits, else it is done at once
+    Duration firstRead = milliseconds(300); // after a first start, when seeds of the settings had time to answer
     Duration jitter = milliseconds(800);    // added to it: of instances that start together, most find what the first of them wrote
     Duration check = seconds(10);           // between two looks at which of the named instances live; no call is made for it
     Duration backoff = seconds(2);          // after a failed call
--- a/tests/membership_test.cpp
+++ b/tests/membership_test.cpp
@@ -263,6 +263,14 @@
         CHECK(net.runUntil(seconds(5), [&] { return net.at(late).eligibleIn(there).size() == 7; }) < seconds(1));
         CHECK(net.runUntil(seconds(5), [&] { return net.stateAt(5, late) == MemberState::Alive; }) < seconds(2));
     }
+    SECTION("when one is told its seeds only after it has started")
+    {
+        net.run(seconds(2));
+        const size_t late = net.addKnowing(here, {});
+        net.run(milliseconds(60));
+        net.at(late).addSeed(net.idOf(0), unknownZone, net.nodes[0]->record.peer);
+        CHECK(net.runUntil(seconds(5), [&] { return net.at(late).eligibleIn(here).size() == 4; }) < milliseconds(200));
+    }
     SECTION("when all seeds but one are down")
     {
         net.nodes[0]->stopped = true;
--- a/tests/seedlist_test.cpp
+++ b/tests/seedlist_test.cpp
@@ -77,10 +77,14 @@
 
 struct SeedBench
 {
+    explicit SeedBench(bool isFirstStart = true) : settings{ isFirstStart }
+    {
+    }
+    SeedSettings settings;
     SeedStore store;
     ManualClock clock;
     std::vector<Endpoint> told;
-    SeedList list{ store, clock, 1, "here", first, [this](const Endpoint &seed) { this->told.push_back(seed); } };
+    SeedList list{ store, clock, 1, "here", first, [this](const Endpoint &seed) { this->told.push_back(seed); }, settings };
 
     void run(Duration time, const std::vector<Endpoint> &live, bool isKeeper)
     {
@@ -117,6 +121,13 @@
         CHECK(bench.store.writes == 0);
         CHECK(bench.store.lists == 1);
     }
+    SECTION("one that starts later in the life of the system asks at once, so that it knows its zone before something happens to it")
+    {
+        SeedBench late(false);
+        late.store.objects["seeds/here"] = { "seeds/here", 7, writeSeeds({ second }), false, nullptr };
+        late.run(milliseconds(100), {}, true);
+        CHECK(late.told == std::vector<Endpoint>{ second });
+    }
     SECTION("one whose seeds of the settings answered asks nothing")
     {
         bench.run(seconds(60), { second }, false);
