--- a/tests/flowdaemon_test.cpp
+++ b/tests/flowdaemon_test.cpp
@@ -197,7 +197,7 @@
     REQUIRE(parseEndpoint(platform.readLine().substr(std::string("listening ").size()), store));
     FlowProcess first("first", store);
     FlowProcess second("second", store);
-    Peer target;
+    Peer target(freePort()); // free for TCP as well, on which it can be connected to
     boost::asio::io_context context;
     const boost::asio::ip::tcp::acceptor health(context, { boost::asio::ip::address_v4::loopback(), target.port() }); // it can be connected to
     const Endpoint service{ 0xC6120001, 443 };
@@ -275,7 +275,7 @@
     auto platform = std::make_unique<ChildProcess>("standins-platform", std::vector<std::string>{ "--listen", "127.0.0.1:0" });
     Endpoint store;
     REQUIRE(parseEndpoint(platform->readLine().substr(std::string("listening ").size()), store));
-    Peer target;
+    Peer target(freePort()); // free for TCP as well, on which it can be connected to
     boost::asio::io_context context;
     const boost::asio::ip::tcp::acceptor health(context, { boost::asio::ip::address_v4::loopback(), target.port() });
     createTarget(store, target.port());
