--- a/review/standins/turned_away.cpp
+++ b/review/1/case.cpp
@@ -1,7 +1,7 @@
 // The store turns one machine away for some seconds: the one that reads it for its zone. Later the zone's other machines are stopped and taken away by plan.
 // The first one is calm and the store has served it again for long when a target reports that it drains.
 
-#include "scenario.h"
+#include "../scenario.h"
 
 using namespace standin;
 
--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -1,2 +1,2 @@
 #!/usr/bin/env bash
-exec "$(dirname "$0")/../play.sh" turned_away "$(dirname "$0")"
+exec "$(dirname "$0")/../play.sh" "$(dirname "$0")"
--- a/review/build.sh
+++ b/review/build.sh
@@ -1,11 +1,12 @@
 #!/usr/bin/env bash
-# Builds the stand-ins of the cases into review/bin. They need g++ and the packages of the deploy file.
+# Builds the cases with their stand-ins, review/N/case. They need g++ and the packages of the deploy file.
 set -euo pipefail
 cd "$(dirname "$0")"
-mkdir -p bin
-for source in standins/*.cpp; do
-    g++ -std=c++20 -O1 -Wall -Wextra -o "bin/$(basename "$source" .cpp)" "$source" &
+jobs=()
+for source in [1-5]/case.cpp; do
+    g++ -std=c++20 -O1 -Wall -Wextra -o "${source%.cpp}" "$source" &
+    jobs+=($!)
 done
-for job in $(jobs -p); do
+for job in "${jobs[@]}"; do
     wait "$job"
 done
--- a/review/play.sh
+++ b/review/play.sh
@@ -1,12 +1,12 @@
 #!/usr/bin/env bash
-# Plays a case: play.sh NAME FOLDER. Exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run.
+# Plays a case: play.sh FOLDER. Exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run.
 # FOLDER/record.txt tells what was sent, answered and run. TROUBLE=0 leaves out the disruption.
 set -u
-folder=$(cd "$2" && pwd)
+folder=$(cd "$1" && pwd)
 cd "$(dirname "$0")/.." || exit 2
-[ -x "review/bin/$1" ] && [ -x target/hornbeamd ] || { echo "build the deploy file and run review/build.sh first"; exit 2; }
+[ -x "$folder/case" ] && [ -x target/hornbeamd ] || { echo "build the deploy file and run review/build.sh first"; exit 2; }
 temporary=$(mktemp -d) || exit 2
-"review/bin/$1" "$folder" target/hornbeamd "$temporary" & # ends its instances with itself
+"$folder/case" "$folder" target/hornbeamd "$temporary" & # ends its instances with itself
 case=$!
 trap 'kill "$case" 2>/dev/null' TERM INT
 wait "$case"
