--- a/review/callers.h
+++ b/review/callers.h
@@ -38,7 +38,7 @@
 class Callers
 {
 public:
-    Callers(Loop &loop, Record &record, Fleet &fleet, const char *host) : loop(loop), record(record), fleet(fleet), host(ip(host))
+    Callers(Loop &loop, Record &record, Fleet &fleet, const char *host) : loop(loop), record(record), fleet(fleet), host(ownIp(host))
     {
         this->fd = bindSocket(SOCK_DGRAM, { this->host, fleet.packetPort });
         this->loop.watch(this->fd, POLLIN, [this](short) { this->receive(); });
--- a/review/fleet.h
+++ b/review/fleet.h
@@ -58,15 +58,15 @@
     {
         Instance instance;
         instance.name = name;
-        instance.host = ip(host);
+        instance.host = ownIp(host);
         instance.settingsFile = this->dir + "/" + name + ".json";
         instance.logFile = this->dir + "/" + name + ".log";
-        const Address storeAddress{ ip("127.40.0.1") + static_cast<uint32_t>(this->instances.size()), this->storePort };
+        const Address storeAddress{ ownIp("127.40.0.1") + static_cast<uint32_t>(this->instances.size()), this->storePort };
         this->store.listen(name, storeAddress);
         // rendered from deploy/settings.template.json
         std::ofstream(instance.settingsFile) << nlohmann::json{ { "name", name },
                                                                 { "zone", zone },
-                                                                { "address", host },
+                                                                { "address", hostText(instance.host) },
                                                                 { "metrics_port", this->metricsPort },
                                                                 { "peer_port", this->peerPort },
                                                                 { "platform", text(storeAddress) },
--- a/review/loop.h
+++ b/review/loop.h
@@ -125,6 +125,12 @@
     return ntohl(address.s_addr);
 }
 
+// A loopback address of this run: runs at the same time use different third octets, so that their ports don't clash.
+inline uint32_t ownIp(const char *text)
+{
+    return ip(text) + (static_cast<uint32_t>(getpid()) % 250 << 8);
+}
+
 inline std::string hostText(uint32_t host)
 {
     char text[32];
--- a/review/scenario.h
+++ b/review/scenario.h
@@ -41,7 +41,7 @@
         TargetSpec spec;
         spec.id = id;
         spec.service = service;
-        spec.address = { ip("127.20.0.1") + static_cast<uint32_t>(number), this->targetPort };
+        spec.address = { ownIp("127.20.0.1") + static_cast<uint32_t>(number), this->targetPort };
         spec.clockAheadMs = clockAheadMs;
         this->targets.push_back(std::make_unique<Target>(this->loop, this->record, this->store, this->fleet.packetPort, this->heartbeatMs, spec, label));
         return *this->targets.back();
