Flows: log when an instance starts and stops reading the store, with its next call

The logs showed that the instance made no call for the targets after an outage, but not why: it could have had a call that never completed, a role that says "another member reads", or a call that is not due.

Change: events store_reading_started and store_reading_stopped with the age of the data, consecutive failures, whether a call waits, and the time until the next one; the same for both resources under store_calls of GET /members.

--- a/src/apps/flowstore.cpp
+++ b/src/apps/flowstore.cpp
@@ -102,8 +102,35 @@
         this->sharing.tick(out);
         this->link.send(out);
         this->updateMembers();
-        this->targets.tick(this->sharing.isReader(StoreResource::Targets));
-        this->configurations.tick(this->sharing.isReader(StoreResource::Configuration));
+        this->tickWatcher(StoreResource::Targets);
+        this->tickWatcher(StoreResource::Configuration);
+    }
+
+    void tickWatcher(StoreResource resource)
+    {
+        ObjectWatcher &watcher = resource == StoreResource::Targets ? this->targets : this->configurations;
+        const bool isReader = this->sharing.isReader(resource);
+        watcher.tick(isReader);
+        bool &wasReader = this->wasReaderOf[static_cast<size_t>(resource)];
+        if (isReader != wasReader) {
+            wasReader = isReader;
+            this->logEvent(isReader ? "store_reading_started" : "store_reading_stopped", this->watcherState(resource));
+        }
+    }
+
+    // What decides when the store is read next. Zero times while a call is waiting or due.
+    nlohmann::ordered_json watcherState(StoreResource resource) const
+    {
+        const bool isTargets = resource == StoreResource::Targets;
+        const ObjectWatcher &watcher = isTargets ? this->targets : this->configurations;
+        const TimePoint now = this->clock.now();
+        const Duration untilCall = watcher.isWaiting() ? Duration{ 0 } : std::max(Duration{ 0 }, Duration(watcher.nextCallTime() - now));
+        const TimePoint confirmedAt = isTargets ? this->sharing.targetView().confirmedAt() : this->sharing.configurationView().confirmedAt();
+        return { { "reading", nameOf(resource) },
+                 { "age_ms", ageMillis(confirmedAt, now) },
+                 { "failures", watcher.failureCount() },
+                 { "call_waiting", watcher.isWaiting() },
+                 { "next_call_ms", std::chrono::duration_cast<milliseconds>(untilCall).count() } };
     }
 
     void readNow(StoreResource resource)
@@ -264,6 +291,7 @@
                          { "reads_configuration", this->sharing.isReader(StoreResource::Configuration) },
                          { "targets", { { "revision", targetView.revision() }, { "age_ms", ageMillis(targetView.confirmedAt(), now) } } },
                          { "configuration", { { "revision", configurationView.revision() }, { "age_ms", ageMillis(configurationView.confirmedAt(), now) } } },
+                         { "store_calls", Json::array({ this->watcherState(StoreResource::Targets), this->watcherState(StoreResource::Configuration) }) },
                          { "members", std::move(members) } };
         return page.dump(2) + "\n";
     }
@@ -282,7 +310,8 @@
     SeedList seeds;
     std::array<bool, static_cast<size_t>(StoreResource::Count)> isStoreLost{};
     std::array<TimePoint, static_cast<size_t>(StoreResource::Count)> lastReadNow{};
-    size_t liveMembers = 1; // of all zones, including this instance
+    std::array<bool, static_cast<size_t>(StoreResource::Count)> wasReaderOf{}; // as of the last tick
+    size_t liveMembers = 1;                                                    // of all zones, including this instance
     TimePoint nextMemberUpdate;
 };
 
--- a/src/store/objectwatcher.cpp
+++ b/src/store/objectwatcher.cpp
@@ -98,4 +98,19 @@
     return this->failures == 0;
 }
 
+uint32_t ObjectWatcher::failureCount() const
+{
+    return this->failures;
+}
+
+bool ObjectWatcher::isWaiting() const
+{
+    return this->isCallPending;
+}
+
+TimePoint ObjectWatcher::nextCallTime() const
+{
+    return this->nextCallAt;
+}
+
 } // namespace hornbeam
--- a/src/store/objectwatcher.h
+++ b/src/store/objectwatcher.h
@@ -49,6 +49,12 @@
 
     /** Whether the last call succeeded; true before the first call. */
     bool isReachable() const;
+    /** Number of consecutive failed calls. */
+    uint32_t failureCount() const;
+    /** Whether a call is waiting for its response. */
+    bool isWaiting() const;
+    /** When the next call is due; has no meaning while a call is waiting. */
+    TimePoint nextCallTime() const;
 
 private:
     void beginList();
--- a/tests/flowdaemon_test.cpp
+++ b/tests/flowdaemon_test.cpp
@@ -316,6 +316,19 @@
     // the instance that receives requests reads the store; the other one does not
     REQUIRE(waitFor([&] { return members(first)["reads_targets"] != members(second)["reads_targets"]; }));
 
+    SECTION("the state page shows when each instance calls the store next")
+    {
+        const bool isFirstReader = members(first)["reads_targets"] == true;
+        const json readerCalls = members(isFirstReader ? first : second)["store_calls"];
+        const json otherCalls = members(isFirstReader ? second : first)["store_calls"];
+        REQUIRE(readerCalls.size() == 2);
+        REQUIRE(otherCalls.size() == 2);
+        CHECK(readerCalls[0]["reading"] == "targets");
+        CHECK(readerCalls[0]["failures"] == 0);
+        CHECK(readerCalls[0]["next_call_ms"] <= 1000);
+        CHECK(otherCalls[0]["call_waiting"] == false);
+        CHECK(otherCalls[0]["next_call_ms"] > 60000); // not the reader
+    }
     SECTION("a change reaches both instances")
     {
         createObject(store, "servers", "i-2f",
