Store: an instance that the store turned away reads again after its backoff

Cause: ObjectWatcher kept one time for the next call, both for the backoff after a failure and for the 300 s between lists of an instance that isn't a reader. Stopping to read replaced the backoff with the 300 s; starting again made a call due only if the last call had succeeded. An instance whose calls fail and that gets data from a member stops reading the targets while only its configuration is outdated (or the other way round), and then never calls.

Change: the end of the backoff is a time of its own. An instance that starts to read calls when it is over, at once if it is in the past.

--- a/src/store/objectwatcher.cpp
+++ b/src/store/objectwatcher.cpp
@@ -24,8 +24,8 @@
 void ObjectWatcher::tick(bool isWatcher)
 {
     const TimePoint now = this->clock.now();
-    if (isWatcher && !this->isWatching && this->failures == 0) {
-        this->nextCallAt = now; // became a watcher
+    if (isWatcher && !this->isWatching) {
+        this->nextCallAt = std::max(now, this->retryAt); // became a watcher
     } else if (!isWatcher && this->isWatching && !this->isCallPending) {
         this->nextCallAt = now + this->settings.resyncInterval; // stopped being a watcher
     }
@@ -71,13 +71,15 @@
     const TimePoint now = this->clock.now();
     if (!reply.isOk()) {
         this->isListed = false; // a restarted platform may have lost its change history, so list again
-        this->nextCallAt = now + (reply.outcome == PlatformOutcome::HistoryGone ? Duration{ 0 } : this->nextBackoff());
+        this->retryAt = now + (reply.outcome == PlatformOutcome::HistoryGone ? Duration{ 0 } : this->nextBackoff());
+        this->nextCallAt = this->retryAt;
         if (this->onFailure) {
             this->onFailure(reply);
         }
         return;
     }
     this->failures = 0;
+    this->retryAt = now;
     this->isListed = this->isWatching;
     const uint64_t from = isSnapshot ? 0 : this->revision;
     this->revision = reply.revision;
--- a/src/store/objectwatcher.h
+++ b/src/store/objectwatcher.h
@@ -77,6 +77,7 @@
     uint32_t failures = 0; // consecutive
     TimePoint requestedAt; // when the last call began
     TimePoint nextCallAt;
+    TimePoint retryAt; // end of the backoff after the last failed call
 };
 
 } // namespace hornbeam
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -129,6 +129,36 @@
                 watcher.tick(true);
                 CHECK(api.calls.size() == before); // the backoff is at least half of its maximum
             }
+            // Guards against a member that never reads the store again after its calls failed and another member provided data for a moment.
+            AND_WHEN("it stops watching during the backoff and has to watch again")
+            {
+                REQUIRE(api.calls.size() == 3);
+                api.answer(PlatformOutcome::Unavailable);
+                watcher.tick(false);
+                watcher.tick(true);
+                CHECK(api.calls.size() == 3); // still backing off
+                clock.advance(milliseconds(500));
+                watcher.tick(true);
+                THEN("it lists when the backoff is over")
+                {
+                    REQUIRE(api.calls.size() == 4);
+                    CHECK(api.calls[3].kind == "list");
+                }
+            }
+            AND_WHEN("it stops watching and has to watch again long after the backoff")
+            {
+                REQUIRE(api.calls.size() == 3);
+                api.answer(PlatformOutcome::Unavailable);
+                watcher.tick(false);
+                clock.advance(seconds(30));
+                watcher.tick(false);
+                CHECK(api.calls.size() == 3);
+                watcher.tick(true);
+                THEN("it lists immediately")
+                {
+                    CHECK(api.calls.size() == 4);
+                }
+            }
         }
     }
     GIVEN("a member that does not watch")
--- a/tests/sharing_test.cpp
+++ b/tests/sharing_test.cpp
@@ -220,6 +220,42 @@
     }
 }
 
+// Guards against an instance that never reads the store again after the store turned it away while members provided data now and then.
+TEST_CASE("a member that the store turned away reads the store again when it is the last one of its zone")
+{
+    constexpr size_t smallZone = 3;
+    const int seed = GENERATE(range(1, 31));
+    CAPTURE(seed);
+    std::minstd_rand random(static_cast<std::minstd_rand::result_type>(seed));
+    Zone zone(smallZone);
+    const size_t reader = zone.reader();
+    REQUIRE(reader < smallZone);
+    zone.extraDelay = [&random] { return milliseconds(random() % 40); };
+    zone.afterStep = [&] { // changes of targets end the long polls of targets but not those of configurations, so the data ages differ
+        if (random() % 80 == 0) {
+            zone.store.put(makeTarget("target-" + std::to_string(20 + random() % 10), random()), zone.clock.now());
+        }
+    };
+
+    zone.at(reader).store->setState(FakeStoreClient::State::Refusing);
+    zone.run(seconds(9));
+    zone.at(reader).store->setState(FakeStoreClient::State::Good);
+    zone.run(zone.flows.stability + seconds(2));
+    for (size_t i = 0; i < smallZone; ++i) {
+        if (i != reader) {
+            zone.stop(i);
+            zone.updateMembers();
+            zone.run(seconds(3));
+        }
+    }
+    zone.run(zone.flows.stability);
+
+    zone.store.put(draining("target-1"), zone.clock.now());
+    zone.store.configure(makeConfiguration(2), zone.clock.now());
+    CHECK(zone.runUntil(seconds(30), [&] { return zone.allKnowDraining("target-1"); }) < zone.flows.drainBound);
+    CHECK(zone.runUntil(seconds(30), [&] { return zone.allHaveVersion(2); }) < zone.flows.changeBound);
+}
+
 TEST_CASE("a resumed process does not act on data that became outdated during the pause")
 {
     Zone zone;
