Store: a requested read is not replaced by the interval between lists

Change: a requested read is a flag of its own, which the start of a call and a failure (whose retry serves it) clear. A watcher clears it with the response, since its next watch follows anyway.

Failed before: two sections of "ObjectWatcher lists, then watches, and backs off after failures" (2 == 3 calls). Passes now (61 assertions), the unit tests without scenarios too (136 cases).

--- a/src/store/objectwatcher.cpp
+++ b/src/store/objectwatcher.cpp
@@ -30,9 +30,10 @@
         this->nextCallAt = now + this->settings.resyncInterval; // stopped being a watcher
     }
     this->isWatching = isWatcher;
-    if (this->isCallPending || now < this->nextCallAt) {
+    if (this->isCallPending || (!this->isPollRequested && now < this->nextCallAt)) {
         return;
     }
+    this->isPollRequested = false;
     if (isWatcher && this->isListed) {
         this->beginWatch();
     } else {
@@ -47,7 +48,7 @@
 
 void ObjectWatcher::pollNow()
 {
-    this->nextCallAt = std::min(this->nextCallAt, this->clock.now());
+    this->isPollRequested = true;
 }
 
 void ObjectWatcher::beginList()
@@ -70,7 +71,8 @@
     this->isCallPending = false;
     const TimePoint now = this->clock.now();
     if (!reply.isOk()) {
-        this->isListed = false; // a restarted platform may have lost its change history, so list again
+        this->isListed = false;        // a restarted platform may have lost its change history, so list again
+        this->isPollRequested = false; // the retry serves it
         this->retryAt = now + (reply.outcome == PlatformOutcome::HistoryGone ? Duration{ 0 } : this->nextBackoff());
         this->nextCallAt = this->retryAt;
         if (this->onFailure) {
@@ -81,6 +83,7 @@
     this->failures = 0;
     this->retryAt = now;
     this->isListed = this->isWatching;
+    this->isPollRequested = this->isPollRequested && !this->isWatching; // the next watch follows anyway and returns all changes
     const uint64_t from = isSnapshot ? 0 : this->revision;
     this->revision = reply.revision;
     this->nextCallAt = this->isWatching ? now + this->settings.coalescingDelay : now + this->settings.resyncInterval;
@@ -112,7 +115,7 @@
 
 TimePoint ObjectWatcher::nextCallTime() const
 {
-    return this->nextCallAt;
+    return this->isPollRequested ? std::min(this->nextCallAt, this->clock.now()) : this->nextCallAt;
 }
 
 } // namespace hornbeam
--- a/src/store/objectwatcher.h
+++ b/src/store/objectwatcher.h
@@ -44,7 +44,7 @@
     void tick(bool isWatcher);
     /** Selects the urgent or the normal timeout for the following long polls. */
     void setUrgent(bool isUrgent);
-    /** Makes the next call due immediately. */
+    /** Makes the next call due immediately, or as soon as the response to the pending one has arrived. */
     void pollNow();
 
     /** Whether the last call succeeded; true before the first call. */
@@ -73,6 +73,7 @@
     bool isCallPending = false; // waiting for a response
     bool isListed = false;      // a watch may start at `revision`
     bool isUrgent = false;
+    bool isPollRequested = false; // the next call is due whatever `nextCallAt` says
     uint64_t revision = 0;
     uint32_t failures = 0; // consecutive
     TimePoint requestedAt; // when the last call began
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -171,6 +171,31 @@
         api.answer(PlatformOutcome::Ok, 7);
         watcher.tick(false);
         CHECK(api.calls.size() == 1);
+        // Guards against a change that stays unread for 300 s: members can't send it, and the read for it was requested at an unfavourable moment.
+        WHEN("a read is requested in the same tick in which it stops watching")
+        {
+            watcher.tick(true);
+            api.answer(PlatformOutcome::Ok, 8);
+            watcher.pollNow();
+            watcher.tick(false);
+            CHECK(api.calls.size() == 3);
+        }
+        WHEN("a read is requested while an earlier one is pending")
+        {
+            watcher.pollNow();
+            watcher.tick(false);
+            REQUIRE(api.calls.size() == 2);
+            watcher.pollNow();
+            api.answer(PlatformOutcome::Ok, 8);
+            watcher.tick(false);
+            THEN("it reads again, since the pending response may be older than the request")
+            {
+                REQUIRE(api.calls.size() == 3);
+                api.answer(PlatformOutcome::Ok, 9);
+                watcher.tick(false);
+                CHECK(api.calls.size() == 3);
+            }
+        }
         WHEN("it becomes a watcher")
         {
             watcher.tick(true);
