Store: an entry that can't be parsed no longer hides the others

All instances stopped following the targets and kept using draining ones until the entry lapsed; instances that started meanwhile did not get ready.

Cause: a response was parsed as one document, and the JSON library discards the document for one invalid part. The fallback replaced some invalid bytes and let surrogates, overlong forms and all numbers through.

Change: core/jsontext splits a response by quotes and brackets; name, revision and content of each entry are parsed by themselves. Content that can't be parsed is reported (target_ignored) and names no target, also when its name stood for one before; an entry without a readable name is counted (entries_ignored). Entries with invalid UTF-8 are no longer used with replaced bytes: PROTOCOL.md says that bytes that can't be read name no back end.

--- a/src/apps/flowstore.cpp
+++ b/src/apps/flowstore.cpp
@@ -146,7 +146,7 @@
 
     void onTargets(const ObjectReadResult &read)
     {
-        this->recordSuccess(StoreResource::Targets);
+        this->recordSuccess(StoreResource::Targets, read);
         std::vector<IgnoredTarget> ignored;
         TargetUpdate update = makeTargetUpdate(read, ignored);
         for (const IgnoredTarget &target : ignored) {
@@ -159,7 +159,7 @@
 
     void onConfigurations(const ObjectReadResult &read)
     {
-        this->recordSuccess(StoreResource::Configuration);
+        this->recordSuccess(StoreResource::Configuration, read);
         Actions out;
         for (const PlatformObject &object : read.objects) {
             if (object.key != configurationKey || object.isDeleted) {
@@ -184,8 +184,11 @@
         this->logEvent("store_lost", { { "reading", nameOf(resource) }, { "outcome", nameOf(reply.outcome) }, { "problem", reply.problem } });
     }
 
-    void recordSuccess(StoreResource resource)
+    void recordSuccess(StoreResource resource, const ObjectReadResult &read)
     {
+        if (read.unnamedObjects > 0) {
+            this->logEvent("entries_ignored", { { "reading", nameOf(resource) }, { "entries", read.unnamedObjects }, { "problem", "the name can't be read" } });
+        }
         bool &lost = this->isStoreLost[static_cast<size_t>(resource)];
         if (lost) {
             lost = false;
--- a/src/store/objectwatcher.cpp
+++ b/src/store/objectwatcher.cpp
@@ -87,7 +87,7 @@
     const uint64_t from = isSnapshot ? 0 : this->revision;
     this->revision = reply.revision;
     this->nextCallAt = this->isWatching ? now + this->settings.coalescingDelay : now + this->settings.resyncInterval;
-    this->onObjects({ reply.objects, isSnapshot, this->requestedAt, from, reply.revision });
+    this->onObjects({ reply.objects, isSnapshot, this->requestedAt, from, reply.revision, reply.unnamedObjects });
 }
 
 Duration ObjectWatcher::nextBackoff()
--- a/src/store/objectwatcher.h
+++ b/src/store/objectwatcher.h
@@ -23,9 +23,10 @@
 {
     const std::vector<PlatformObject> &objects; // all under the prefix, or those that changed
     bool isSnapshot = false;
-    TimePoint requestedAt; // when the call began; the response is at least this recent
-    uint64_t from = 0;     // changes after this revision; 0 for a snapshot
-    uint64_t revision = 0; // store revision that the response covers
+    TimePoint requestedAt;     // when the call began; the response is at least this recent
+    uint64_t from = 0;         // changes after this revision; 0 for a snapshot
+    uint64_t revision = 0;     // store revision that the response covers
+    size_t unnamedObjects = 0; // left out because their name can't be read
 };
 
 /** Not thread safe: the event loop that owns the PlatformApi owns it too, and it outlives its calls. */
--- a/src/store/platformapi.cpp
+++ b/src/store/platformapi.cpp
@@ -1,5 +1,7 @@
 #include "store/platformapi.h"
 
+#include "core/jsontext.h"
+
 #include <array>
 #include <nlohmann/json.hpp>
 
@@ -21,7 +23,7 @@
 
 nlohmann::json contentOf(const PlatformObject &object)
 {
-    return object.content != nullptr ? *object.content : nlohmann::json::parse(object.value, nullptr, false);
+    return object.content != nullptr ? *object.content : parseJson(object.value);
 }
 
 void readInstances(PlatformReply &reply)
--- a/src/store/platformapi.h
+++ b/src/store/platformapi.h
@@ -76,6 +76,7 @@
     uint64_t version = 0;                    // put: the version written
     uint64_t revision = 0;                   // list, watch: the store revision that the response covers
     std::vector<PlatformObject> objects;     // get: the object; list, watch: those under the prefix
+    size_t unnamedObjects = 0;               // list, watch: objects left out because their name can't be read
     std::vector<PlatformInstance> instances; // instances
     std::string problem;                     // human-readable error message if the outcome is not Ok
 
--- /dev/null
+++ b/tests/oddentries_test.cpp
@@ -0,0 +1,206 @@
+// Tests of store responses in which one entry, written by another program, is unusable. All other entries have to be read, and the process has to survive.
+
+#include "apps/storereadersettings.h"
+#include "core/jsontext.h"
+#include "platform/flowobjects.h"
+#include "platform/platformcodec.h"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
+#include <rapidcheck.h>
+
+using namespace hornbeam;
+using nlohmann::json;
+
+namespace {
+
+constexpr size_t soundEntries = 5;
+
+std::string soundSpec(const std::string &changedField = "", const std::string &changedValue = "")
+{
+    const std::vector<std::pair<std::string, std::string>> fields{
+        { "service", R"("booking")" },
+        { "address", R"("10.1.0.9:8080")" },
+        { "zone", R"("here")" },
+        { "version", R"("v1")" },
+        { "slots", "2" },
+        { "state", R"("ready")" },
+        { "warmupLeftMs", "0" },
+        { "seqNo", "4" },
+        { "born", "1772920000000" },
+    };
+    std::string text;
+    bool isChanged = changedField.empty();
+    for (const auto &[field, value] : fields) {
+        isChanged = isChanged || field == changedField;
+        text += (text.empty() ? "{\"" : ",\"") + field + "\":" + (field == changedField ? changedValue : value);
+    }
+    return text + (isChanged ? "" : ",\"" + changedField + "\":" + changedValue) + "}";
+}
+
+std::string object(const std::string &name, const std::string &spec)
+{
+    return R"({"meta":{"name":")" + name + R"(","rev":7},"spec":)" + spec + R"(,"status":null})";
+}
+
+/** The entries of a response in order; the odd one stands at `position` under the name "odd". */
+std::vector<std::string> entriesWith(const std::string &oddSpec, size_t position)
+{
+    std::vector<std::string> entries;
+    for (size_t i = 0; i <= soundEntries; ++i) {
+        entries.push_back(i == position ? object("odd", oddSpec) : object("i-" + std::to_string(i), soundSpec()));
+    }
+    return entries;
+}
+
+std::string join(const std::vector<std::string> &entries)
+{
+    std::string text;
+    for (const std::string &entry : entries) {
+        text += (text.empty() ? "" : ",") + entry;
+    }
+    return text;
+}
+
+std::string listBody(const std::vector<std::string> &entries)
+{
+    return R"({"items":[)" + join(entries) + R"(],"hasMore":false,"currentRev":9})";
+}
+
+std::string watchBody(std::vector<std::string> entries)
+{
+    for (std::string &entry : entries) {
+        entry = R"({"object":)" + entry + R"(,"removed":false})";
+    }
+    return R"({"events":[)" + join(entries) + R"(],"currentRev":9})";
+}
+
+/** Checks that all entries but the odd one are read from a list and from a watch, and that the odd one is reported. */
+void checkOnlyOddIsIgnored(const std::string &oddSpec)
+{
+    for (const size_t position : { size_t{ 0 }, soundEntries / 2, soundEntries }) {
+        CAPTURE(position);
+        PlatformReply list;
+        PlatformReply watch;
+        ObjectPage page;
+        REQUIRE(parsePage(listBody(entriesWith(oddSpec, position)), std::string(targetPrefix), list, page));
+        REQUIRE(parseWatchResponse(watchBody(entriesWith(oddSpec, position)), std::string(targetPrefix), watch));
+        CHECK(list.revision == 9);
+        CHECK(watch.revision == 9);
+        for (const PlatformReply *reply : { &list, &watch }) {
+            std::vector<IgnoredTarget> ignored;
+            const TargetUpdate update = makeTargetUpdate({ reply->objects, reply == &list, TimePoint{}, 1, 9 }, ignored);
+            CHECK(update.updated.size() == soundEntries);
+            CHECK(std::none_of(update.updated.begin(), update.updated.end(), [](const TargetEntry &entry) { return entry.record.name == "odd"; }));
+            REQUIRE(ignored.size() == 1);
+            CHECK(ignored.front().name == "odd");
+            CHECK_FALSE(ignored.front().problem.empty());
+            CHECK(update.removed == std::vector<std::string>{ "odd" }); // also when it was a sound entry before
+        }
+    }
+}
+
+}
+
+// Guards against a response that is rejected as a whole: the process then follows neither the targets nor their draining while the entry exists.
+TEST_CASE("an entry of the store that can't be parsed hides no other entry")
+{
+    SECTION("with a number out of range")
+    {
+        for (const std::string number : { "1e999", "-1e999", "1e99999999999999999999" }) {
+            CAPTURE(number);
+            checkOnlyOddIsIgnored(number);
+            checkOnlyOddIsIgnored(soundSpec("slots", number));
+            checkOnlyOddIsIgnored(soundSpec("extra", number));
+        }
+        checkOnlyOddIsIgnored(soundSpec("born", std::string(400, '9')));
+    }
+    SECTION("with text that is not UTF-8")
+    {
+        for (const std::string text : { "\xff\xfe\x80", "\xed\xa0\x80", "\xed\xbf\xbf", "\xf4\x90\x80\x80", "\xe0\x80\x80", "\xc3" }) {
+            checkOnlyOddIsIgnored("\"" + text + "\"");
+            checkOnlyOddIsIgnored(soundSpec("service", "\"" + text + "\""));
+            checkOnlyOddIsIgnored(soundSpec("version", "\"" + text + "\""));
+        }
+    }
+    SECTION("with invalid escapes, control characters and words")
+    {
+        for (const std::string value : { R"("\ud800")", R"("\x41")", "\"a\tb\"", "NaN", "Infinity", "tru", "0123", "--1", "[1,2,]", "{\"a\" 1}", "[}" }) {
+            CAPTURE(value);
+            checkOnlyOddIsIgnored(value);
+            checkOnlyOddIsIgnored(soundSpec("extra", value));
+        }
+    }
+    SECTION("with quotes, brackets and backslashes in its text")
+    {
+        for (const std::string value : { R"("]}")", R"("{[\"")", R"("\\")", R"("\\\"}]")", R"({"]":"[{"})" }) {
+            CAPTURE(value);
+            checkOnlyOddIsIgnored(value);
+        }
+    }
+    SECTION("whose name can't be parsed")
+    {
+        for (const std::string meta : { R"({"name":"\ud800","rev":7})", R"({"name":5,"rev":7})", R"({"rev":7})", "1e999" }) {
+            CAPTURE(meta);
+            std::vector<std::string> entries = entriesWith("{}", 2);
+            entries[2] = R"({"meta":)" + meta + R"(,"spec":)" + soundSpec() + "}";
+            PlatformReply reply;
+            ObjectPage page;
+            REQUIRE(parsePage(listBody(entries), std::string(targetPrefix), reply, page));
+            CHECK(reply.objects.size() == soundEntries);
+            CHECK(reply.unnamedObjects == 1);
+        }
+    }
+}
+
+TEST_CASE("JSON text is split into the parts that a parser finds, and arbitrary text is split or rejected")
+{
+    SECTION("objects and arrays")
+    {
+        const JsonSlices fields(" { \"a\" : 1 , \"b\":{\"a\":[2,{}]}, \"c\" : \"x\\\"}\" ,\"a\":null } ");
+        CHECK(fields.at("a") == "null"); // the last of several, as in the parser
+        CHECK(fields.at("b") == R"({"a":[2,{}]})");
+        CHECK(fields.at("c") == R"("x\"}")");
+        CHECK(fields.at("d").empty());
+        CHECK(splitJsonArray(" [ ] ")->empty());
+        CHECK(*splitJsonArray("[1, [2,3] ,\"]\"]") == std::vector<std::string_view>{ "1", "[2,3]", "\"]\"" });
+    }
+    SECTION("incomplete documents")
+    {
+        for (const std::string_view text : { "", "[", "[1", "[1,", "[1,]", "[,1]", "[1 2]", "[1]]", "{", "[[1]", "[\"a]", "[\"a\\", "1" }) {
+            CAPTURE(text);
+            CHECK_FALSE(splitJsonArray(text).has_value());
+        }
+        for (const std::string_view text :
+             { "", "{", "{\"a\"}", "{\"a\":}", "{\"a\":1", "{\"a\":1,", "{a:1}", "{\"a\":1}{", "[]", "{\"a\" 1}", "{\"a\":1 \"a\":2}" }) {
+            CAPTURE(text);
+            CHECK(JsonSlices(text).at("a").empty());
+        }
+    }
+    SECTION("any document")
+    {
+        CHECK(rc::check("split and parsed documents agree", [](const std::vector<std::string> &texts, const std::vector<int> &numbers, uint16_t at, char byte) {
+            json document{ { "texts", json::array() }, { "numbers", numbers }, { "nested", { { "list", numbers }, { "none", nullptr } } } };
+            for (const std::string &text : texts) {
+                document["texts"].push_back(json::parse(json(text).dump(-1, ' ', false, json::error_handler_t::replace)));
+            }
+            std::string text = document.dump();
+            const JsonSlices fields(text);
+            for (const auto &[key, value] : document.items()) {
+                RC_ASSERT(parseJson(fields.at(key)) == value);
+            }
+            const auto elements = splitJsonArray(fields.at("texts"));
+            RC_ASSERT(elements.has_value());
+            RC_ASSERT(elements->size() == texts.size());
+            text[at % text.size()] = byte;
+            const JsonSlices mutated(text);
+            json parsed = json::parse(text, nullptr, false);
+            for (const std::string key : { "texts", "numbers", "nested" }) {
+                if (parsed.is_object() && parsed.contains(key)) {
+                    RC_ASSERT(parseJson(mutated.at(key)) == parsed[key]);
+                }
+            }
+        }));
+    }
+}
