Store, tables, settings: a deeply nested JSON text ends no process

What operators reported: instances that read a list with a very deeply nested entry ended, were started again and ended again.

Cause: nlohmann/json copies, compares and writes a document with one call for each level of nesting. The codec copied each response; contentOf() copies; the error messages of tables and settings write the value found.

Evidence: on parsePage() with an entry of 500,000 levels (1 MB, the most an object may have): SIGSEGV.

Change: parseJson() counts the nesting before it parses and refuses more than 64 levels. The store's objects, tables, seed lists, status objects and settings go through it.

--- a/src/apps/ctlcommands.cpp
+++ b/src/apps/ctlcommands.cpp
@@ -4,6 +4,7 @@
 
 #include "apps/tablecells.h"
 #include "apps/tablediff.h"
+#include "core/jsontext.h"
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
@@ -277,7 +278,7 @@
             continue;
         }
         lines.push_back(this->statusLine(*status, tables.objects));
-        json entry = json::parse(object.value, nullptr, false);
+        json entry = parseJson(object.value);
         entry["behind"] = lines.back()[4];
         entries.push_back(std::move(entry));
     }
--- a/src/apps/settings.cpp
+++ b/src/apps/settings.cpp
@@ -3,6 +3,7 @@
 #include "apps/settings.h"
 
 #include "apps/tunables.h"
+#include "core/jsontext.h"
 
 #include <algorithm>
 #include <boost/leaf.hpp>
@@ -230,9 +231,9 @@
 CheckedSettings parseSettings(std::string_view text)
 {
     CheckedSettings checked;
-    const json object = json::parse(text, nullptr, false);
+    const json object = parseJson(text);
     if (!object.is_object()) {
-        checked.faults.push_back({ "", object.is_discarded() ? "text that is not JSON" : abbreviatedText(object), "a JSON object" });
+        checked.faults.push_back({ "", object.is_discarded() ? std::string(unparsableJson) : abbreviatedText(object), "a JSON object" });
         return checked;
     }
     DaemonSettings settings;
--- a/src/core/jsontext.cpp
+++ b/src/core/jsontext.cpp
@@ -45,6 +45,7 @@
                 }
             } else if (character == '[' || character == '{') {
                 ++depth;
+                this->deepest = std::max(this->deepest, depth);
                 ++this->position;
             } else if (depth > 0 && (character == ']' || character == '}')) {
                 --depth;
@@ -63,6 +64,12 @@
         return {};
     }
 
+    /** The deepest nesting of the values returned so far. */
+    size_t nesting() const
+    {
+        return this->deepest;
+    }
+
 private:
     void skipBlanks()
     {
@@ -84,12 +91,18 @@
 
     const std::string_view text;
     size_t position = 0;
+    size_t deepest = 0;
 };
 
 } // namespace
 
 nlohmann::json parseJson(std::string_view text)
 {
+    Scanner scanner(text);
+    scanner.nextValue();
+    if (scanner.nesting() > maxJsonDepth) {
+        return nlohmann::json(nlohmann::json::value_t::discarded);
+    }
     return nlohmann::json::parse(text, nullptr, false);
 }
 
--- a/src/core/jsontext.h
+++ b/src/core/jsontext.h
@@ -1,6 +1,7 @@
 #pragma once
 
-// Reads JSON text written by other programs. Splits a document without parsing its parts, so that a part that can't be parsed doesn't affect the others.
+// Reads JSON text written by other programs. Splits a document without parsing its parts, so that a part that can't be parsed doesn't affect the others, and
+// limits the nesting of what is parsed.
 
 #include <nlohmann/json_fwd.hpp>
 #include <optional>
@@ -10,7 +11,11 @@
 
 namespace hornbeam {
 
-/** Parses a document. Returns a discarded value if it is malformed or has a number out of the range of a double. Thread safe. */
+constexpr size_t maxJsonDepth = 64; // nested arrays and objects; copying, comparing and writing a parsed document use the stack for each level
+constexpr std::string_view unparsableJson = "text that is malformed, nested too deeply, or with a number out of range";
+
+/** Parses a document. Returns a discarded value if it is malformed, has a number out of the range of a double, or is nested deeper than `maxJsonDepth`.
+ * Thread safe. */
 nlohmann::json parseJson(std::string_view text);
 
 /** The fields of a JSON object, as unparsed text. */
--- a/src/store/seedlist.cpp
+++ b/src/store/seedlist.cpp
@@ -1,5 +1,7 @@
 #include "store/seedlist.h"
 
+#include "core/jsontext.h"
+
 #include <algorithm>
 #include <nlohmann/json.hpp>
 
@@ -12,7 +14,7 @@
 std::vector<Endpoint> parseSeeds(const std::string &text)
 {
     std::vector<Endpoint> seeds;
-    const json list = json::parse(text, nullptr, false);
+    const json list = parseJson(text);
     for (size_t i = 0; list.is_array() && i < list.size(); ++i) {
         Endpoint seed;
         if (list[i].is_string() && parseEndpoint(list[i].get<std::string>(), seed) && seed.port != 0) {
--- a/src/store/statusreporter.cpp
+++ b/src/store/statusreporter.cpp
@@ -1,5 +1,7 @@
 #include "store/statusreporter.h"
 
+#include "core/jsontext.h"
+
 #include <algorithm>
 #include <nlohmann/json.hpp>
 
@@ -51,7 +53,7 @@
 
 std::optional<ZoneStatus> parseStatus(const std::string &text)
 {
-    const json object = json::parse(text, nullptr, false);
+    const json object = parseJson(text);
     ZoneStatus status;
     if (!object.is_object() || !object.contains("zone") || !object["zone"].is_string() || !readNumber(object, "members", status.members)
         || !readNumber(object, "agreeing", status.agreeing) || !readNumber(object, "written_ms", status.writtenMs) || !object.contains("services")
--- a/src/table/tableparser.cpp
+++ b/src/table/tableparser.cpp
@@ -1,5 +1,7 @@
 #include "table/tableparser.h"
 
+#include "core/jsontext.h"
+
 #include <algorithm>
 #include <map>
 #include <nlohmann/json.hpp>
@@ -179,9 +181,9 @@
         parsed.faults.push_back({ "", std::to_string(text.size()) + " bytes", "at most " + std::to_string(maxTableBytes) + " bytes" });
         return parsed;
     }
-    const json object = json::parse(text, nullptr, false);
+    const json object = parseJson(text);
     if (!object.is_object()) {
-        parsed.faults.push_back({ "", object.is_discarded() ? "text that is not JSON" : abbreviatedText(object), "a JSON object" });
+        parsed.faults.push_back({ "", object.is_discarded() ? std::string(unparsableJson) : abbreviatedText(object), "a JSON object" });
         return parsed;
     }
     TableDocument document;
--- a/tests/oddentries_test.cpp
+++ b/tests/oddentries_test.cpp
@@ -16,6 +16,20 @@
 namespace {
 
 constexpr size_t soundEntries = 5;
+constexpr size_t largestNesting = 500'000; // of an entry of 1 MB
+
+std::string nested(size_t depth, const std::string &open, const std::string &close)
+{
+    std::string text;
+    for (size_t i = 0; i < depth; ++i) {
+        text += open;
+    }
+    text += "1";
+    for (size_t i = 0; i < depth; ++i) {
+        text += close;
+    }
+    return text;
+}
 
 std::string soundSpec(const std::string &changedField = "", const std::string &changedValue = "")
 {
@@ -103,6 +117,34 @@
 
 }
 
+// Guards against a stack overflow: copying or writing a parsed document recurses to its depth, so every process that reads the list ends again and again.
+TEST_CASE("a deeply nested entry of the store ends no process and hides no other entry")
+{
+    SECTION("as the whole entry")
+    {
+        checkOnlyOddIsIgnored(nested(largestNesting, "[", "]"));
+        checkOnlyOddIsIgnored(nested(largestNesting / 3, "{\"a\":", "}"));
+    }
+    SECTION("in a field of the entry")
+    {
+        checkOnlyOddIsIgnored(soundSpec("service", nested(largestNesting, "[", "]")));
+        checkOnlyOddIsIgnored(soundSpec("extra", nested(largestNesting, "[", "]")));
+    }
+    SECTION("as the only object of a response")
+    {
+        PlatformReply reply;
+        REQUIRE(parseObject(object("odd", nested(largestNesting, "[", "]")), std::string(targetPrefix), reply));
+        REQUIRE(reply.objects.size() == 1);
+        CHECK_FALSE(contentOf(reply.objects.front()).is_object());
+        CHECK_FALSE(parseTarget(reply.objects.front()).record.has_value());
+        CHECK_FALSE(parseConfiguration(reply.objects.front()).configuration.has_value());
+    }
+    SECTION("as text")
+    {
+        checkOnlyOddIsIgnored("\"" + nested(largestNesting, "[", "]") + "\"");
+    }
+}
+
 // Guards against a response that is rejected as a whole: the process then follows neither the targets nor their draining while the entry exists.
 TEST_CASE("an entry of the store that can't be parsed hides no other entry")
 {
@@ -178,6 +220,13 @@
             CHECK(JsonSlices(text).at("a").empty());
         }
     }
+    SECTION("nested documents")
+    {
+        CHECK(parseJson(nested(maxJsonDepth, "[", "]")).is_array());
+        CHECK(parseJson(nested(maxJsonDepth + 1, "[", "]")).is_discarded());
+        CHECK(parseJson(nested(maxJsonDepth + 1, "{\"a\":", "}")).is_discarded());
+        CHECK(parseJson("\"" + nested(maxJsonDepth + 1, "[", "]") + "\"").is_string());
+    }
     SECTION("any document")
     {
         CHECK(rc::check("split and parsed documents agree", [](const std::vector<std::string> &texts, const std::vector<int> &numbers, uint16_t at, char byte) {
--- a/tests/table_test.cpp
+++ b/tests/table_test.cpp
@@ -73,6 +73,19 @@
     }
 }
 
+// Guards against a stack overflow: an error message quotes the value found, and writing a parsed value recurses to its depth.
+TEST_CASE("a deeply nested table is rejected with an error")
+{
+    constexpr size_t nesting = 400'000;
+    const std::string deep = std::string(nesting, '[') + std::string(nesting, ']');
+    for (const std::string &text : { deep, R"({"service":)" + deep + "}", R"({"service":"booking","port":5683,"extra":)" + deep + "}",
+                                     R"({"service":"booking","port":5683,"targets":[)" + deep + "]}" }) {
+        const ParsedTable parsed = parseTable(text, 7);
+        CHECK_FALSE(parsed.document.has_value());
+        CHECK_FALSE(parsed.faults.empty());
+    }
+}
+
 TEST_CASE("the table parser handles arbitrary and mutated text")
 {
     const bool passed =
