Platform: a number out of range makes an entry unusable and is never truncated

In a configuration, which the store has accepted as valid, such a number counts as the largest that fits: refusing it would refuse all routes.

--- a/tests/oddentries_test.cpp
+++ b/tests/oddentries_test.cpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <catch2/catch.hpp>
+#include <limits>
 #include <nlohmann/json.hpp>
 #include <rapidcheck.h>
 
@@ -196,6 +197,67 @@
     }
 }
 
+// Guards against numbers that change when they are stored in a smaller type, and against packets to addresses that no target can have.
+TEST_CASE("an entry of the store with a number out of range names no target")
+{
+    SECTION("a port out of range")
+    {
+        for (const std::string address : { "10.1.0.9:0", "10.1.0.9:65536", "10.1.0.9:70000", "10.1.0.9:99999999999999999999", "10.1.0.9:-1", "10.1.0.9:+80",
+                                           "10.1.0.9:", "10.1.0.9", "10.1.0.256:80", "0.0.0.0:80", "10.1.0.9:80 " }) {
+            CAPTURE(address);
+            checkOnlyOddIsIgnored(soundSpec("address", "\"" + address + "\""));
+        }
+    }
+    SECTION("slots that don't fit")
+    {
+        for (const std::string slots : { "4294967296", "4294967298", "18446744073709551615", "18446744073709551616", "-1", "2.5", "1e3" }) {
+            CAPTURE(slots);
+            checkOnlyOddIsIgnored(soundSpec("slots", slots));
+        }
+    }
+    SECTION("a start time in the far future, which would make every later process of the target look older")
+    {
+        for (const std::string born : { "253402300800000", "9223372036854775808", "18446744073709551615" }) {
+            CAPTURE(born);
+            checkOnlyOddIsIgnored(soundSpec("born", born));
+        }
+    }
+    SECTION("the largest values in range are used")
+    {
+        for (const auto &[field, value] : std::vector<std::pair<std::string, std::string>>{
+                 { "address", "\"10.1.0.9:65535\"" }, { "slots", "4294967295" }, { "born", "253402300799999" }, { "warmupLeftMs", "18446744073709551615" } }) {
+            CAPTURE(field);
+            PlatformReply reply;
+            REQUIRE(parseObject(object("i-1f", soundSpec(field, value)), std::string(targetPrefix), reply));
+            CHECK(parseTarget(reply.objects.front()).problem.empty());
+        }
+    }
+}
+
+// Guards against limits and timeouts that become small or negative when they don't fit. A configuration that the store accepted is valid, so it isn't rejected.
+TEST_CASE("numbers of a configuration that don't fit count as the largest that does")
+{
+    const auto parse = [](const std::string &number) {
+        const std::string text = R"({"version":7,"routes":[{"name":"r","host":"198.18.0.1","pathPrefix":"/443/","kind":"safe","priority":)" + number
+            + R"(,"timeoutMs":)" + number + R"(,"targetLatencyMs":)" + number + R"(,"split":[{"service":"booking","weight":)" + number
+            + R"(}]}],"services":[{"name":"booking","maxConnections":)" + number + R"(}],"limits":{"idleTimeoutMs":)" + number + "}}";
+        return parseConfiguration({ "config/main", 3, text, false });
+    };
+    constexpr uint32_t largest = std::numeric_limits<uint32_t>::max();
+    for (const std::string number : { "4294967295", "4294967296", "9223372036854775808", "18446744073709551615" }) {
+        CAPTURE(number);
+        const ParsedConfiguration parsed = parse(number);
+        REQUIRE(parsed.configuration.has_value());
+        const Route &route = parsed.configuration->routes.at(0);
+        CHECK(route.priority == largest);
+        CHECK(route.timeout == milliseconds(largest));
+        CHECK(route.latencyTarget == milliseconds(largest));
+        CHECK(route.shares.at(0).weight == largest);
+        CHECK(parsed.configuration->connectionLimits.at("booking") == largest);
+        CHECK(parsed.configuration->idleTimeout == milliseconds(largest));
+    }
+}
+
 TEST_CASE("JSON text is split into the parts that a parser finds, and arbitrary text is split or rejected")
 {
     SECTION("objects and arrays")
