Platform: a page without a readable name doesn't make a list endless

A page that announces more but has no readable name, or no entry, was requested again and again, each time at once.

--- a/tests/flowplatform_test.cpp
+++ b/tests/flowplatform_test.cpp
@@ -186,12 +186,19 @@
         CHECK(listPath("servers/", "a") == "/api/objects/servers?after=a");
         CHECK(watchPath("servers/", 9, seconds(3)) == "/api/objects/servers?watch=9&waitMs=3000");
     }
-    // Guards against a list that fails at a page because of the name of an entry of another writer.
-    SECTION("the next page starts after any name")
+    // Guards against a list that stops at a page, or never ends, because of the name of an entry of another writer.
+    SECTION("the next page starts after any name, and only if there is one")
     {
         CHECK(listPath("servers/", "i-7f.A_~") == "/api/objects/servers?after=i-7f.A_~");
         CHECK(listPath("servers/", "a b&c=d/e?f#%") == "/api/objects/servers?after=a%20b%26c%3Dd%2Fe%3Ff%23%25");
         CHECK(listPath("servers/", "\xc3\xa9\n") == "/api/objects/servers?after=%C3%A9%0A");
+        PlatformReply reply;
+        ObjectPage page;
+        REQUIRE(parsePage(R"({"items":[{"meta":{"name":"a","rev":3}},{"meta":{"name":7}}],"hasMore":true,"currentRev":9})", "servers/", reply, page));
+        CHECK(page.lastName == "a");
+        CHECK_FALSE(parsePage(R"({"items":[{"meta":{"name":7}}],"hasMore":true,"currentRev":9})", "servers/", reply, page));
+        CHECK_FALSE(parsePage(R"({"items":[],"hasMore":true,"currentRev":9})", "servers/", reply, page));
+        CHECK(parsePage(R"({"items":[],"hasMore":false,"currentRev":9})", "servers/", reply, page));
     }
     SECTION("an object with invalid UTF-8 does not prevent reading the others")
     {
