Platform: a text that is too long to be a name makes an entry unusable

Change: names of targets, services and zones have at most 256 bytes.

Failed before: "an entry of the store with a text that is too long to be a name names no target".

--- a/src/apps/storereadersettings.cpp
+++ b/src/apps/storereadersettings.cpp
@@ -60,6 +60,10 @@
     std::map<std::string, std::optional<TargetEntry>> lastEntries;
     for (const PlatformObject &object : read.objects) {
         const std::string name = object.key.substr(targetPrefix.size());
+        if (name.size() > maxNameBytes) {
+            ignored.push_back({ name.substr(0, maxNameBytes), object.version, "a name of " + std::to_string(name.size()) + " bytes" });
+            continue;
+        }
         std::optional<TargetEntry> &entry = lastEntries[name];
         entry.reset();
         if (object.isDeleted) {
--- a/tests/oddentries_test.cpp
+++ b/tests/oddentries_test.cpp
@@ -234,6 +234,33 @@
     }
 }
 
+// Guards against updates that no datagram between members can carry.
+TEST_CASE("an entry of the store with a text that is too long to be a name names no target")
+{
+    const auto text = [](size_t size) { return "\"" + std::string(size, 'a') + "\""; };
+    for (const std::string field : { "service", "zone" }) {
+        CAPTURE(field);
+        checkOnlyOddIsIgnored(soundSpec(field, text(257)));
+        checkOnlyOddIsIgnored(soundSpec(field, text(900'000)));
+        PlatformReply reply;
+        REQUIRE(parseObject(object("i-1f", soundSpec(field, text(256))), std::string(targetPrefix), reply));
+        CHECK(parseTarget(reply.objects.front()).record.has_value());
+    }
+    SECTION("as its own name")
+    {
+        std::vector<std::string> entries = entriesWith("{}", 2);
+        entries[2] = object(std::string(70'000, 'a'), soundSpec());
+        PlatformReply reply;
+        REQUIRE(parseWatchResponse(watchBody(entries), std::string(targetPrefix), reply));
+        std::vector<IgnoredTarget> ignored;
+        const TargetUpdate update = makeTargetUpdate({ reply.objects, false, TimePoint{}, 1, 9 }, ignored);
+        CHECK(update.updated.size() == soundEntries);
+        CHECK(update.removed.empty());
+        REQUIRE(ignored.size() == 1);
+        CHECK(ignored.front().name.size() <= 256);
+    }
+}
+
 // Guards against limits and timeouts that become small or negative when they don't fit. A configuration that the store accepted is valid, so it isn't rejected.
 TEST_CASE("numbers of a configuration that don't fit count as the largest that does")
 {
