--- a/tests/flowdaemon_test.cpp
+++ b/tests/flowdaemon_test.cpp
@@ -105,6 +105,8 @@
                    { "slots", 2 },
                    { "state", "ready" },
                    { "warmupLeftMs", 0 },
+                   { "version", "v1" },
+                   { "seqNo", 1 },
                    { "born", 5 } });
 }
 
@@ -338,6 +340,8 @@
                        { "slots", 2 },
                        { "state", "draining" },
                        { "warmupLeftMs", 0 },
+                       { "version", "v1" },
+                       { "seqNo", 1 },
                        { "born", 6 } });
         for (const FlowProcess *process : { &first, &second }) {
             CHECK(waitFor([&] { return httpGet(process->metrics, "/targets", seconds(1))->find("i-2f") != std::string::npos; }));
--- a/tests/flowplatform_test.cpp
+++ b/tests/flowplatform_test.cpp
@@ -104,10 +104,12 @@
     CHECK(parseTarget(targetObject({ { "state", "draining" } })).record->isDraining);
     CHECK(parseTarget(targetObject({ { "unknown", 1 } })).record.has_value());
 
-    const std::vector<json> broken{ { { "service", nullptr } }, { { "service", 5 } },          { { "address", "10.1.0.9" } }, { { "address", 1 } },
-                                    { { "state", "asleep" } },  { { "state", true } },         { { "slots", "2" } },          { { "slots", -1 } },
-                                    { { "born", nullptr } },    { { "born", 1.5 } },           { { "zone", json::array() } }, { { "warmupLeftMs", "soon" } },
-                                    { { "address", "" } },      { { "address", "a.b.c.d:1" } } };
+    const std::vector<json> broken{ { { "service", nullptr } },      { { "service", 5 } },     { { "address", "10.1.0.9" } }, { { "address", 1 } },
+                                    { { "state", "asleep" } },       { { "state", true } },    { { "slots", "2" } },          { { "slots", -1 } },
+                                    { { "born", nullptr } },         { { "born", 1.5 } },      { { "zone", json::array() } }, { { "warmupLeftMs", "soon" } },
+                                    { { "version", nullptr } },      { { "version", 5 } },     { { "seqNo", nullptr } },      { { "seqNo", "4" } },
+                                    { { "warmupLeftMs", nullptr } }, { { "slots", nullptr } }, { { "state", nullptr } },      { { "zone", nullptr } },
+                                    { { "address", nullptr } },      { { "address", "" } },    { { "address", "a.b.c.d:1" } } };
     for (const json &change : broken) {
         CAPTURE(change.dump());
         const ParsedTarget parsed = parseTarget(targetObject(change));
@@ -240,6 +242,8 @@
                                                             { "slots", 2U },
                                                             { "state", "ready" },
                                                             { "warmupLeftMs", 0U },
+                                                            { "version", "v1" },
+                                                            { "seqNo", 1U },
                                                             { "born", born } });
         return object;
     };
