Soak: another writer leaves an odd entry among those of the targets

The platform stand-in keeps such content as it was written (PUT /raw/KEY) and puts it into its responses unchanged.

--- a/soak/plan.cpp
+++ b/soak/plan.cpp
@@ -9,6 +9,7 @@
 namespace {
 constexpr milliseconds shortestGap(200); // between the beginnings of two steps: most overlap
 constexpr milliseconds longestGap(2500);
+constexpr milliseconds oddEntryGap(8000);
 constexpr milliseconds shortestFault(300);
 constexpr milliseconds longestFault(3500);
 }
@@ -16,16 +17,30 @@
 std::string_view nameOf(StepKind kind)
 {
     constexpr std::array<std::string_view, static_cast<size_t>(StepKind::Count)> names{
-        "restart_instance", "roll_instances", "reload_settings", "replace_target", "add_route",     "drop_route", "change_storm",
-        "kill_instance",    "kill_half",      "pause_instance",  "crash_target",   "freeze_target", "cut_link",   "silence_store",
-        "reset_store",      "delay_store",    "cut_store",       "lapse_entry",    "lose_writes",   "pause_store"
+        "restart_instance", "roll_instances", "reload_settings", "replace_target", "add_route",     "drop_route",  "change_storm",
+        "kill_instance",    "kill_half",      "pause_instance",  "crash_target",   "freeze_target", "cut_link",    "silence_store",
+        "reset_store",      "delay_store",    "cut_store",       "lapse_entry",    "lose_writes",   "pause_store", "odd_entry"
     };
     return names[static_cast<size_t>(kind)];
 }
 
 bool isPlanned(StepKind kind)
 {
-    return kind <= StepKind::ChangeStorm;
+    return kind <= StepKind::ChangeStorm || kind == StepKind::OddEntry;
+}
+
+// Drawn apart from the other steps, so that each seed keeps those.
+Plan withOddEntries(Plan plan, uint64_t seed, Duration length)
+{
+    std::mt19937_64 random(~seed);
+    const auto between = [&random](milliseconds low, milliseconds high) {
+        return milliseconds(std::uniform_int_distribution<int64_t>(low.count(), high.count())(random));
+    };
+    for (Duration at = between(shortestGap, oddEntryGap); at < length; at += between(shortestGap, oddEntryGap)) {
+        plan.push_back({ at, StepKind::OddEntry, static_cast<uint32_t>(random()), between(shortestFault, longestFault) });
+    }
+    std::stable_sort(plan.begin(), plan.end(), [](const Step &a, const Step &b) { return a.at < b.at; });
+    return plan;
 }
 
 Plan drawPlan(uint64_t seed, Duration length, Duration calm)
@@ -42,14 +57,14 @@
     while (true) {
         Step step;
         step.at = at;
-        step.kind = static_cast<StepKind>(std::uniform_int_distribution<int>(0, static_cast<int>(StepKind::Count) - 1)(random));
+        step.kind = static_cast<StepKind>(std::uniform_int_distribution<int>(0, static_cast<int>(StepKind::OddEntry) - 1)(random));
         step.subject = static_cast<uint32_t>(random());
         step.lasts = between(shortestFault, longestFault);
         at += between(shortestGap, longestGap);
         if (step.at + step.lasts > length - calm) {
             plan.push_back(lastRelease);
             plan.push_back(lastEdit);
-            return plan;
+            return withOddEntries(std::move(plan), seed, length);
         }
         plan.push_back(step);
     }
--- a/soak/plan.h
+++ b/soak/plan.h
@@ -33,10 +33,13 @@
     LapseEntry,   // of a living target, while the store is cut from all instances
     LoseWrites,   // of a living target, until its entry lapses
     PauseStore,   // the process of the store stands still
+    // harmless
+    OddEntry, // another writer leaves an unusable entry among those of the targets
     Count,
 };
 
 std::string_view nameOf(StepKind kind);
+/** Whether no promise is eased by the step. */
 bool isPlanned(StepKind kind);
 
 struct Step
--- a/soak/run.cpp
+++ b/soak/run.cpp
@@ -3,6 +3,7 @@
 #include "run.h"
 
 #include "flowwire.h"
+#include "oddentry.h"
 #include "platform/blockingplatform.h"
 #include "platform/flowobjects.h"
 #include "platform/packetheader.h"
@@ -213,18 +214,32 @@
     }
 
     void remove(const std::string &key)
+    {
+        this->call(boost::beast::http::verb::delete_, objectPath(key), "");
+    }
+
+    void call(boost::beast::http::verb verb, const std::string &path, const std::string &body)
     {
         namespace http = boost::beast::http;
         boost::asio::io_context own;
         boost::beast::tcp_stream stream(own);
         stream.connect(tcp::endpoint(boost::asio::ip::address_v4(this->store.address), this->store.port));
-        http::request<http::empty_body> request(http::verb::delete_, objectPath(key), 11);
+        http::request<http::string_body> request(verb, path, 11, body);
+        request.prepare_payload();
         http::write(stream, request);
         boost::beast::flat_buffer buffer;
         http::response<http::string_body> response;
         http::read(stream, buffer, response);
     }
 
+    // leaves an entry of another writer in the store for a while
+    void leaveOddEntry(const Step &step)
+    {
+        const std::string key = std::string(targetPrefix) + "0dd" + std::to_string(this->oddEntries++);
+        this->write([this, key, text = standins::oddEntry(step.subject)] { this->call(boost::beast::http::verb::put, "/raw/" + key, text); });
+        this->later(step.lasts, [this, key] { this->write([this, key] { this->remove(key); }); });
+    }
+
     void list(SoakTarget &target)
     {
         target.isListed = true;
@@ -356,6 +371,9 @@
                 this->later(i * stormGap, [this] { this->writeConfiguration(); });
             }
             break;
+        case StepKind::OddEntry:
+            this->leaveOddEntry(step);
+            break;
         case StepKind::ReplaceTarget:
         case StepKind::CrashTarget:
         case StepKind::FreezeTarget:
@@ -574,7 +592,8 @@
     std::deque<std::function<void()>> writes;
     std::multimap<TimePoint, std::function<void()>> due;
     size_t nextStep = 0;
-    Disturbance world; // any fault
+    uint32_t oddEntries = 0; // left so far
+    Disturbance world;       // any fault
     Disturbance storeLife;
     bool isStorePaused = false;
 };
--- a/standins/platformservice.cpp
+++ b/standins/platformservice.cpp
@@ -14,6 +14,7 @@
 
 constexpr std::string_view objectsPath = "/api/objects/";
 constexpr std::string_view instancesPath = "/instances/"; // where the instances' own supervisor reports them
+constexpr std::string_view rawPath = "/raw/";             // takes any text as an object's content, as another writer might leave it
 
 //--- Reading requests
 
@@ -90,16 +91,24 @@
     return http::status::internal_server_error;
 }
 
-json objectBody(const StoredObject &object)
+std::string textOf(const json &body)
+{
+    return body.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
+// The content stands in the body as it was written, also if it isn't valid JSON.
+std::string objectBody(const StoredObject &object)
 {
     const std::string name = object.key.substr(object.key.find('/') + 1);
-    json meta{ { "name", name }, { "rev", object.version }, { "createRevision", object.version }, { "finalizers", json::array() }, { "deleting", false } };
-    return { { "meta", std::move(meta) }, { "spec", json::parse(object.value, nullptr, false) }, { "status", nullptr } };
+    const json meta{
+        { "name", name }, { "rev", object.version }, { "createRevision", object.version }, { "finalizers", json::array() }, { "deleting", false }
+    };
+    return R"({"meta":)" + textOf(meta) + R"(,"spec":)" + (object.value.empty() ? "null" : object.value) + R"(,"status":null})";
 }
 
-std::string textOf(const json &body)
+std::string listBody(const std::string &field, const std::string &entries, const std::string &more, uint64_t revision)
 {
-    return body.dump(-1, ' ', false, json::error_handler_t::replace);
+    return "{\"" + field + "\":[" + entries + "]" + more + ",\"currentRev\":" + std::to_string(revision) + "}";
 }
 
 bool isFaultPath(const std::string &path)
@@ -126,7 +135,7 @@
     const bool isKind = key.find('/') == std::string::npos;
     if (request.method() == http::verb::get) {
         const StoredObject *object = this->store.find(key);
-        return object == nullptr ? makeResponse(http::status::not_found) : makeResponse(http::status::ok, textOf(objectBody(*object)));
+        return object == nullptr ? makeResponse(http::status::not_found) : makeResponse(http::status::ok, objectBody(*object));
     }
     if (request.method() == http::verb::delete_) {
         const WriteOutcome outcome = this->store.remove(key, nullptr);
@@ -147,16 +156,16 @@
     const WriteOutcome outcome = this->store.put(target, write->spec, condition);
     isWritten = outcome == WriteOutcome::Created || outcome == WriteOutcome::Replaced;
     const StoredObject *object = this->store.find(target);
-    return makeResponse(statusOf(outcome), object == nullptr ? "" : textOf(objectBody(*object)));
+    return makeResponse(statusOf(outcome), object == nullptr ? "" : objectBody(*object));
 }
 
 HttpResponse PlatformService::handleList(const std::string &kind) const
 {
-    json items = json::array();
+    std::string items;
     for (const StoredObject &object : this->store.list(kind + "/", 0, false)) {
-        items.push_back(objectBody(object));
+        items += (items.empty() ? "" : ",") + objectBody(object);
     }
-    return makeResponse(http::status::ok, textOf({ { "items", std::move(items) }, { "hasMore", false }, { "currentRev", this->store.revision() } }));
+    return makeResponse(http::status::ok, listBody("items", items, R"(,"hasMore":false)", this->store.revision()));
 }
 
 bool PlatformService::isReady(const WatchQuestion &watch) const
@@ -169,11 +178,12 @@
     if (this->faults.outage) {
         return makeResponse(http::status::service_unavailable);
     }
-    json events = json::array();
+    std::string events;
     for (const StoredObject &object : this->store.list(watch.prefix, watch.after, true)) {
-        events.push_back({ { "removed", object.isDeleted }, { "object", objectBody(object) } });
+        events +=
+            (events.empty() ? "" : ",") + (R"({"removed":)" + std::string(object.isDeleted ? "true" : "false")) + R"(,"object":)" + objectBody(object) + "}";
     }
-    return makeResponse(http::status::ok, textOf({ { "events", std::move(events) }, { "currentRev", this->store.revision() } }));
+    return makeResponse(http::status::ok, listBody("events", events, "", this->store.revision()));
 }
 
 //--- Instances
@@ -269,6 +279,10 @@
         decision.response = this->handleList(key);
     } else if (isInstance) {
         decision.response = this->handleInstance(request, target.path.substr(instancesPath.size()), now);
+    } else if (target.path.starts_with(rawPath)) {
+        const WriteOutcome outcome = this->store.put(target.path.substr(rawPath.size()), request.body(), nullptr);
+        isWritten = outcome == WriteOutcome::Created || outcome == WriteOutcome::Replaced;
+        decision.response = makeResponse(statusOf(outcome));
     } else if (!key.empty()) {
         decision.response = this->handleObject(request, key, isWritten);
     } else {
