Tests: property of a response with one odd entry anywhere

Draws the content of one entry (values at the edges of each type, invalid words, escapes and bytes, nesting, mutated bytes) and its place; the others have to be read from a list and from a watch, and no port, slot or name out of range may be used.

--- a/tests/oddentries_test.cpp
+++ b/tests/oddentries_test.cpp
@@ -9,6 +9,7 @@
 #include <catch2/catch.hpp>
 #include <limits>
 #include <nlohmann/json.hpp>
+#include <random>
 #include <rapidcheck.h>
 
 using namespace hornbeam;
@@ -116,6 +117,75 @@
     }
 }
 
+/** Text of a JSON value, sound or not, whose quotes and brackets are balanced. */
+std::string drawValue(std::minstd_rand &random, int depth)
+{
+    static const std::vector<std::string> scalars{ "null",
+                                                   "true",
+                                                   "0",
+                                                   "-0",
+                                                   "1",
+                                                   "-1",
+                                                   "0.5",
+                                                   "1e3",
+                                                   "1e999",
+                                                   "-1E+400",
+                                                   "65536",
+                                                   "4294967296",
+                                                   "18446744073709551615",
+                                                   "18446744073709551616",
+                                                   "9223372036854775808",
+                                                   "NaN",
+                                                   "nul",
+                                                   "0x10",
+                                                   "+1",
+                                                   "01",
+                                                   "\"\"",
+                                                   "\"ready\"",
+                                                   "\"draining\"",
+                                                   "\"10.1.0.9:0\"",
+                                                   "\"10.1.0.9:65535\"",
+                                                   "\"booking\"",
+                                                   "\"\\ud800\"",
+                                                   "\"\\u0000\"",
+                                                   "\"\\q\"",
+                                                   "\"[{\"",
+                                                   "\"\\\"}\"",
+                                                   "\"\xed\xa0\x80\"",
+                                                   "\"\xff\"",
+                                                   "\"\xc0\x80\"",
+                                                   "\"\x01\"",
+                                                   "\"" + std::string(300, 'x') + "\"" };
+    const size_t choice = random() % 10;
+    if (choice < 7 || depth == 0) {
+        return scalars[random() % scalars.size()];
+    }
+    std::string text;
+    const size_t count = random() % 4;
+    for (size_t i = 0; i < count; ++i) {
+        text += (i == 0 ? "" : ",") + (choice < 9 ? "\"" + std::string(1, static_cast<char>('a' + random() % 3)) + "\":" : std::string())
+            + drawValue(random, depth - 1);
+    }
+    text = choice < 9 ? "{" + text + "}" : "[" + text + "]";
+    return random() % 20 == 0 ? nested(random() % 200, "[", "]") : text;
+}
+
+std::string drawOddSpec(std::minstd_rand &random)
+{
+    static const std::vector<std::string> fields{ "service", "address", "zone", "version", "slots", "state", "warmupLeftMs", "seqNo", "born", "extra" };
+    if (random() % 4 == 0) {
+        return drawValue(random, 5);
+    }
+    std::string spec = soundSpec(fields[random() % fields.size()], drawValue(random, 3));
+    for (size_t i = random() % 3; i > 0; --i) {
+        const size_t at = random() % spec.size();
+        const char byte = static_cast<char>(random() % 256);
+        const auto isStructure = [](char character) { return std::string_view("\"\\[]{}").find(character) != std::string_view::npos; };
+        spec[at] = isStructure(spec[at]) || isStructure(byte) ? spec[at] : byte;
+    }
+    return spec;
+}
+
 }
 
 // Guards against a stack overflow: copying or writing a parsed document recurses to its depth, so every process that reads the list ends again and again.
@@ -261,6 +331,37 @@
     }
 }
 
+TEST_CASE("whatever one entry of a list or a watch holds, the others are read and nothing out of range is used")
+{
+    CHECK(rc::check("odd entries", [](uint32_t seed) {
+        std::minstd_rand random(seed);
+        const size_t position = random() % (soundEntries + 1);
+        const std::vector<std::string> entries = entriesWith(drawOddSpec(random), position);
+        PlatformReply list;
+        PlatformReply watch;
+        ObjectPage page;
+        RC_ASSERT(parsePage(listBody(entries), std::string(targetPrefix), list, page));
+        RC_ASSERT(parseWatchResponse(watchBody(entries), std::string(targetPrefix), watch));
+        for (const PlatformReply *reply : { &list, &watch }) {
+            std::vector<IgnoredTarget> ignored;
+            const TargetUpdate update = makeTargetUpdate({ reply->objects, reply == &list, TimePoint{}, 1, 9 }, ignored);
+            RC_ASSERT(update.updated.size() + ignored.size() == soundEntries + 1);
+            RC_ASSERT(update.updated.size() >= soundEntries);
+            for (const TargetEntry &entry : update.updated) {
+                RC_ASSERT(entry.record.address.port > 0);
+                RC_ASSERT(entry.record.address.address > 0U);
+                RC_ASSERT(entry.record.slots > 0U);
+                RC_ASSERT(entry.record.service.size() <= maxNameBytes);
+            }
+        }
+        for (const PlatformObject &object : list.objects) {
+            RC_ASSERT(parseConfiguration(object).configuration.has_value() == parseConfiguration(object).problem.empty());
+            const json copy = contentOf(object); // must not use up the stack
+            RC_ASSERT(copy.is_discarded() || !copy.dump(-1, ' ', false, json::error_handler_t::replace).empty());
+        }
+    }));
+}
+
 // Guards against limits and timeouts that become small or negative when they don't fit. A configuration that the store accepted is valid, so it isn't rejected.
 TEST_CASE("numbers of a configuration that don't fit count as the largest that does")
 {
