--- a/standins/oddentry.cpp
+++ b/standins/oddentry.cpp
@@ -28,7 +28,7 @@
     if (chosen < changes.size()) {
         return text.replace(text.find(changes[chosen].first), changes[chosen].first.size(), changes[chosen].second);
     }
-    const std::string deep = std::string(nesting, '[') + std::string(nesting, ']');
+    std::string deep = std::string(nesting, '[') + std::string(nesting, ']');
     if (chosen == changes.size()) {
         return deep;
     }
