Flows: log what tells the hypotheses of the incident apart

Logs could not tell why an instance forwards by an old configuration: the age of what it believes was missing, and a copy of an opening packet that goes to the target of before left no line. - store_data_outdated and store_data_current, with the next call, failures, the source and the age, per resource (H1: the next call is minutes away; H3: a call waits or is due; H2: no such line although the version is old). - configuration_applied has age_ms, the upper bound of the time since the store returned the version. - flow_placed has configuration_age_ms; flow_opening_repeated names the version in force and the one that the target was chosen by (H4). - gauges store_next_call_milliseconds and store_call_failures by resource. No decision has changed.

--- a/bench/forwardmain.cpp
+++ b/bench/forwardmain.cpp
@@ -25,7 +25,10 @@
 class NoObserver final : public FlowObserver
 {
 public:
-    void onPlaced(const FlowState & /*state*/, const Route & /*route*/, uint64_t /*version*/, size_t /*candidates*/) override
+    void onPlaced(const FlowState & /*state*/, const Route & /*route*/, const PlacementInputs & /*inputs*/) override
+    {
+    }
+    void onOpeningRepeated(const FlowState & /*state*/, const Route & /*route*/, uint64_t /*version*/) override
     {
     }
     void onNotAdmitted(const FlowReset & /*reset*/, const Route & /*route*/, const Target & /*target*/, const AdmissionVerdict & /*verdict*/) override
--- a/src/apps/flowdaemon.cpp
+++ b/src/apps/flowdaemon.cpp
@@ -242,7 +242,7 @@
         this->store.setUrgent(this->forwarder.targetDirectory().hasMissing());
     }
 
-    void onConfigurationUpdate(const RouteConfiguration &configuration, uint64_t revision, MemberId source) override
+    void onConfigurationUpdate(const RouteConfiguration &configuration, uint64_t revision, TimePoint requestedAt, MemberId source) override
     {
         const uint64_t previousVersion = this->forwarder.routeTable().version();
         FlowActions actions;
@@ -254,6 +254,7 @@
                              { "before", previousVersion },
                              { "revision", revision },
                              { "source", source == 0 ? "store" : "member" },
+                             { "age_ms", std::chrono::duration_cast<milliseconds>(this->clock.now() - requestedAt).count() },
                              { "routes", this->forwarder.routeTable().size() } });
         } else if (update == RouteTable::Update::Older) {
             this->logEvent("configuration_ignored",
--- a/src/apps/flowlog.cpp
+++ b/src/apps/flowlog.cpp
@@ -14,23 +14,38 @@
 {
 }
 
-void FlowLog::onPlaced(const FlowState &state, const Route &route, uint64_t version, size_t candidates)
+void FlowLog::onPlaced(const FlowState &state, const Route &route, const PlacementInputs &inputs)
 {
     const std::string event = state.openings > 1 ? "flow_moved" : "flow_placed";
     if (!this->log.admits(event)) {
         return;
     }
     const Target &target = *state.target;
-    Fields fields{ { "flow", formatFlow(state.flow) }, { "route", route.name }, { "configuration", version } };
+    Fields fields{ { "flow", formatFlow(state.flow) }, { "route", route.name }, { "configuration", inputs.version } };
+    fields["configuration_age_ms"] = this->ageMillis(inputs.confirmedAt);
     fields["service"] = target.record.service;
     fields["target"] = target.record.name;
     fields["target_flows"] = target.openFlows;
     fields["target_phase"] = nameOf(target.phase);
-    fields["candidates"] = candidates;
+    fields["candidates"] = inputs.candidates;
     fields["opening"] = state.openings;
     this->log.add(event, fields);
 }
 
+void FlowLog::onOpeningRepeated(const FlowState &state, const Route &route, uint64_t version)
+{
+    if (this->log.admits("flow_opening_repeated")) {
+        this->log.add("flow_opening_repeated",
+                      { { "flow", formatFlow(state.flow) },
+                        { "route", route.name },
+                        { "configuration", version },
+                        { "placed_by", state.placedByVersion },
+                        { "service", state.target->record.service },
+                        { "target", state.target->record.name },
+                        { "opening", state.openings } });
+    }
+}
+
 void FlowLog::onNotAdmitted(const FlowReset &reset, const Route &route, const Target &target, const AdmissionVerdict &verdict)
 {
     if (!this->log.admits("flow_not_admitted")) {
--- a/src/apps/flowlog.h
+++ b/src/apps/flowlog.h
@@ -14,7 +14,8 @@
     /** Precondition: the log and the clock outlive this object. */
     FlowLog(EventLog &log, const Clock &clock);
 
-    void onPlaced(const FlowState &state, const Route &route, uint64_t version, size_t candidates) override;
+    void onPlaced(const FlowState &state, const Route &route, const PlacementInputs &inputs) override;
+    void onOpeningRepeated(const FlowState &state, const Route &route, uint64_t version) override;
     void onNotAdmitted(const FlowReset &reset, const Route &route, const Target &target, const AdmissionVerdict &verdict) override;
     void onReset(const FlowReset &reset, ResetReason reason, const FlowState *state) override;
     void onDropped(const FlowPacket &packet, DropReason reason) override;
--- a/src/apps/flowstore.cpp
+++ b/src/apps/flowstore.cpp
@@ -116,6 +116,12 @@
             wasReader = isReader;
             this->logEvent(isReader ? "store_reading_started" : "store_reading_stopped", this->watcherState(resource));
         }
+        const bool isOutdated = this->sharing.isOutdated(resource);
+        bool &wasOutdated = this->wasOutdated[static_cast<size_t>(resource)];
+        if (isOutdated != wasOutdated) {
+            wasOutdated = isOutdated;
+            this->logEvent(isOutdated ? "store_data_outdated" : "store_data_current", this->watcherState(resource));
+        }
     }
 
     // What decides when the store is read next. Zero times while a call is waiting or due.
@@ -126,11 +132,9 @@
         const TimePoint now = this->clock.now();
         const Duration untilCall = watcher.isWaiting() ? Duration{ 0 } : std::max(Duration{ 0 }, Duration(watcher.nextCallTime() - now));
         const TimePoint confirmedAt = isTargets ? this->sharing.targetView().confirmedAt() : this->sharing.configurationView().confirmedAt();
-        return { { "reading", nameOf(resource) },
-                 { "age_ms", ageMillis(confirmedAt, now) },
-                 { "failures", watcher.failureCount() },
-                 { "call_waiting", watcher.isWaiting() },
-                 { "next_call_ms", std::chrono::duration_cast<milliseconds>(untilCall).count() } };
+        return { { "reading", nameOf(resource) },         { "age_ms", ageMillis(confirmedAt, now) },
+                 { "source", this->sharing.source() },    { "failures", watcher.failureCount() },
+                 { "call_waiting", watcher.isWaiting() }, { "next_call_ms", std::chrono::duration_cast<milliseconds>(untilCall).count() } };
     }
 
     void readNow(StoreResource resource)
@@ -167,7 +171,7 @@
             }
             const ParsedConfiguration configuration = parseConfiguration(object);
             if (configuration.configuration.has_value()) {
-                this->sharing.onStoreConfiguration(*configuration.configuration, object.version, out);
+                this->sharing.onStoreConfiguration(*configuration.configuration, object.version, read.requestedAt, out);
             } else {
                 this->logEvent("configuration_ignored", { { "revision", object.version }, { "problem", configuration.problem } });
             }
@@ -268,9 +272,22 @@
 
     //--- State
 
+    // Milliseconds until the next call and failures since the last successful one, by resource.
+    std::string watcherGauges() const
+    {
+        std::string text;
+        for (const StoreResource resource : { StoreResource::Targets, StoreResource::Configuration }) {
+            const nlohmann::ordered_json state = this->watcherState(resource);
+            const std::string label = "{reading=\"" + std::string(nameOf(resource)) + "\"} ";
+            text += "hornbeam_store_next_call_milliseconds" + label + state["next_call_ms"].dump() + "\n";
+            text += "hornbeam_store_call_failures" + label + state["failures"].dump() + "\n";
+        }
+        return text;
+    }
+
     std::string metricsText() const
     {
-        return this->counters.text() + "hornbeam_members_live " + std::to_string(this->liveMembers) + "\nhornbeam_store_reader "
+        return this->counters.text() + this->watcherGauges() + "hornbeam_members_live " + std::to_string(this->liveMembers) + "\nhornbeam_store_reader "
             + (this->sharing.isReader(StoreResource::Targets) ? "1" : "0") + "\nhornbeam_rotation_aside " + (this->rotation.isOutOfRotation() ? "1" : "0")
             + "\n";
     }
@@ -314,7 +331,8 @@
     std::array<bool, static_cast<size_t>(StoreResource::Count)> isStoreLost{};
     std::array<TimePoint, static_cast<size_t>(StoreResource::Count)> lastReadNow{};
     std::array<bool, static_cast<size_t>(StoreResource::Count)> wasReaderOf{}; // as of the last tick
-    size_t liveMembers = 1;                                                    // of all zones, including this instance
+    std::array<bool, static_cast<size_t>(StoreResource::Count)> wasOutdated{ true, true };
+    size_t liveMembers = 1; // of all zones, including this instance
     TimePoint nextMemberUpdate;
 };
 
--- a/src/flows/flowforwarder.cpp
+++ b/src/flows/flowforwarder.cpp
@@ -65,6 +65,7 @@
     if (previousTarget != nullptr && (isAnswering || isMoveLimitReached) && previousTarget->phase == TargetPhase::Ready && !previousTarget->isSilent()) {
         ++known->openings;
         known->lastSeen = now;
+        this->observer.onOpeningRepeated(*known, route, this->routes.version());
         return this->forwardTo(previousTarget, previousTarget->token); // if the target is answering, a packet was lost
     }
     if (previousTarget != nullptr && this->health.needsCheck(*previousTarget, known->firstSeen, now)) {
@@ -88,12 +89,13 @@
     FlowState &state = this->tracker.add(packet.flow, now);
     state.openingSequence = packet.sequence;
     state.kind = route.kind;
+    state.placedByVersion = this->routes.version();
     ++state.openings;
     this->tracker.assign(state, target);
     this->tracker.addOpening(state, now);
     this->counters.add(previousTarget == nullptr ? FlowCounter::FlowsPlaced : FlowCounter::FlowsMoved);
     this->counters.add(FlowCounter::PlacedOtherZone, target->record.zone == this->ownZone ? 0 : 1);
-    this->observer.onPlaced(state, route, this->routes.version(), candidates.size());
+    this->observer.onPlaced(state, route, { this->routes.version(), this->configurationConfirmed, candidates.size() });
     return this->forwardTo(target, target->token);
 }
 
--- a/src/flows/flowforwarder.h
+++ b/src/flows/flowforwarder.h
@@ -49,12 +49,22 @@
     bool needsTargets = false;           // request the target list from the store immediately
 };
 
+/** What the placement of a flow was based on. */
+struct PlacementInputs
+{
+    uint64_t version = 0;  // of the active configuration
+    TimePoint confirmedAt; // when the store last confirmed that version; TimePoint{} if it has not done so yet
+    size_t candidates = 0; // listed targets of the service
+};
+
 /** Receives decisions and state changes of the forwarder. Must not call back into the forwarder. */
 class FlowObserver
 {
 public:
     virtual ~FlowObserver() = default;
-    virtual void onPlaced(const FlowState &state, const Route &route, uint64_t version, size_t candidates) = 0;
+    virtual void onPlaced(const FlowState &state, const Route &route, const PlacementInputs &inputs) = 0;
+    /** A repeated opening packet was sent to the target that an earlier one was sent to. `version` is that of the active configuration. */
+    virtual void onOpeningRepeated(const FlowState &state, const Route &route, uint64_t version) = 0;
     virtual void onNotAdmitted(const FlowReset &reset, const Route &route, const Target &target, const AdmissionVerdict &verdict) = 0;
     virtual void onReset(const FlowReset &reset, ResetReason reason, const FlowState *state) = 0;
     virtual void onDropped(const FlowPacket &packet, DropReason reason) = 0;
--- a/src/flows/flowtracker.h
+++ b/src/flows/flowtracker.h
@@ -23,8 +23,9 @@
     RequestKind kind = RequestKind::NonIdempotent;
     TimePoint firstSeen;
     TimePoint lastSeen;
-    TimePoint unansweredSince;  // when the oldest unacknowledged payload was first sent; TimePoint{} if there is none
-    TimePoint outstandingSince; // when the flow was counted in Target::outstandingRequests; TimePoint{} if it is not counted
+    TimePoint unansweredSince;    // when the oldest unacknowledged payload was first sent; TimePoint{} if there is none
+    TimePoint outstandingSince;   // when the flow was counted in Target::outstandingRequests; TimePoint{} if it is not counted
+    uint64_t placedByVersion = 0; // configuration by which this instance chose the target; 0 if it did not choose it
     uint32_t openingSequence = 0;
     uint32_t contentEnd = 0;   // sequence number after the last payload byte seen
     uint32_t acknowledged = 0; // highest acknowledged sequence number of the target's data
--- a/src/sharing/sharedstorereader.cpp
+++ b/src/sharing/sharedstorereader.cpp
@@ -44,10 +44,10 @@
     this->answerHeldRequests(out);
 }
 
-void SharedStoreReader::onStoreConfiguration(const RouteConfiguration &configuration, uint64_t revision, Actions &out)
+void SharedStoreReader::onStoreConfiguration(const RouteConfiguration &configuration, uint64_t revision, TimePoint requestedAt, Actions &out)
 {
     if (this->configurations.update(configuration, revision)) {
-        this->observer.onConfigurationUpdate(configuration, revision, 0);
+        this->observer.onConfigurationUpdate(configuration, revision, requestedAt, 0);
         this->answerHeldRequests(out);
     }
 }
@@ -173,6 +173,7 @@
 void SharedStoreReader::applyConfiguration(const StoreResponse &response, TimePoint arrived)
 {
     const StoreConfigurationChanges &changes = response.configuration;
+    const TimePoint requestedAt = arrived - milliseconds(changes.ageMs);
     if (changes.revision > this->configurations.revision()) {
         const std::optional<RouteConfiguration> next = this->configurations.apply(changes);
         if (!next.has_value()) {
@@ -181,10 +182,9 @@
         }
         this->configurations.update(*next, changes.revision);
         this->counters.add(Counter::StoreNewsTaken);
-        this->observer.onConfigurationUpdate(*next, changes.revision, response.sender);
+        this->observer.onConfigurationUpdate(*next, changes.revision, requestedAt, response.sender);
     }
     if (changes.revision != 0 && changes.revision >= this->configurations.revision()) {
-        const TimePoint requestedAt = arrived - milliseconds(changes.ageMs);
         this->configurations.confirm(changes.revision, requestedAt);
         this->observer.onConfigurationConfirmed(requestedAt);
     }
@@ -285,6 +285,11 @@
     return !this->settings.isShared || !isKnown || hasRequesters || (this->currentSource == 0 && isSettled) || this->isOutdated(resource, now);
 }
 
+bool SharedStoreReader::isOutdated(StoreResource resource) const
+{
+    return this->isOutdated(resource, this->clock.now());
+}
+
 bool SharedStoreReader::isOutdated(StoreResource resource, TimePoint now) const
 {
     const bool isTargets = resource == StoreResource::Targets;
--- a/src/sharing/sharedstorereader.h
+++ b/src/sharing/sharedstorereader.h
@@ -37,8 +37,8 @@
     virtual ~StoreObserver() = default;
     /** New target data; without changes it only confirms the current state. `source` is the member that sent it, 0 for the store itself. */
     virtual void onTargetUpdate(const TargetUpdate &update, MemberId source) = 0;
-    /** A configuration newer than all previous ones. */
-    virtual void onConfigurationUpdate(const RouteConfiguration &configuration, uint64_t revision, MemberId source) = 0;
+    /** A configuration newer than all previous ones, returned by the store to a request begun at `requestedAt` or later. */
+    virtual void onConfigurationUpdate(const RouteConfiguration &configuration, uint64_t revision, TimePoint requestedAt, MemberId source) = 0;
     /** A store request begun at `requestedAt` returned no newer configuration. */
     virtual void onConfigurationConfirmed(TimePoint requestedAt) = 0;
     /** Members can't provide the missing data: the store has to be read once. */
@@ -58,8 +58,8 @@
 
     /** Handles a target update from the store. */
     void onStoreTargets(TargetUpdate update, Actions &out);
-    /** Handles a configuration from the store. */
-    void onStoreConfiguration(const RouteConfiguration &configuration, uint64_t revision, Actions &out);
+    /** Handles a configuration from the store's response to a request begun at `requestedAt`. */
+    void onStoreConfiguration(const RouteConfiguration &configuration, uint64_t revision, TimePoint requestedAt, Actions &out);
     /** Records that a store call failed or timed out. */
     void onStoreFailure();
     /** Records that a store request begun at `requestedAt` returned no configuration other than those already handled. */
@@ -74,6 +74,8 @@
 
     /** Whether this instance currently has to watch the resource in the store itself. */
     bool isReader(StoreResource resource) const;
+    /** Whether the data of the resource is so old, or has not been loaded, that this instance has to read it from the store itself. */
+    bool isOutdated(StoreResource resource) const;
     /** The member used as the source of updates; 0 while the store is read directly. */
     MemberId source() const;
     const TargetView &targetView() const;
--- a/tests/flowfakes.h
+++ b/tests/flowfakes.h
@@ -19,7 +19,10 @@
     std::vector<AdmissionVerdict> rejections;
     std::vector<std::string> silent; // names of targets, in the order in which they were marked silent
 
-    void onPlaced(const FlowState & /*state*/, const Route & /*route*/, uint64_t /*version*/, size_t /*candidates*/) override
+    void onPlaced(const FlowState & /*state*/, const Route & /*route*/, const PlacementInputs & /*inputs*/) override
+    {
+    }
+    void onOpeningRepeated(const FlowState & /*state*/, const Route & /*route*/, uint64_t /*version*/) override
     {
     }
     void onNotAdmitted(const FlowReset & /*reset*/, const Route & /*route*/, const Target & /*target*/, const AdmissionVerdict &verdict) override
--- a/tests/sharingnetwork.h
+++ b/tests/sharingnetwork.h
@@ -67,8 +67,8 @@
         Silent,   // calls time out without a response
     };
 
-    FakeStoreClient(const SharedStore &store, const Clock &clock, Duration silence, const Duration &latency)
-        : store(store), clock(clock), silence(silence), latency(latency)
+    FakeStoreClient(const SharedStore &store, const Clock &clock, const StoreReaderSettings &timeouts, const Duration &latency)
+        : store(store), clock(clock), callTimeout(timeouts.callTimeout), listTimeout(timeouts.listTimeout), latency(latency)
     {
     }
 
@@ -138,7 +138,7 @@
     {
         const Duration waited = this->clock.now() - call.begun;
         if (call.state == State::Silent) {
-            return waited >= call.timeout + this->silence;
+            return waited >= (call.isList ? this->listTimeout : call.timeout + this->callTimeout);
         }
         return waited >= latency && (call.isList || call.state == State::Refusing || waited >= call.timeout || !this->changesOf(call).empty());
     }
@@ -175,7 +175,8 @@
 
     const SharedStore &store;
     const Clock &clock;
-    const Duration silence;
+    const Duration callTimeout;
+    const Duration listTimeout;
     const Duration &latency; // of a response
     State state = State::Good;
     std::vector<Call> waiting;
@@ -201,7 +202,7 @@
                 this->targets.erase(name);
             }
         }
-        void onConfigurationUpdate(const RouteConfiguration &next, uint64_t /*revision*/, MemberId source) override
+        void onConfigurationUpdate(const RouteConfiguration &next, uint64_t /*revision*/, TimePoint /*requestedAt*/, MemberId source) override
         {
             this->configuration = next;
             this->configurationsFromMembers += source == 0 ? 0 : 1;
@@ -264,7 +265,7 @@
         node.isStopped = false;
         node.targets.clear();
         node.configuration = {};
-        node.store = std::make_unique<FakeStoreClient>(this->store, this->clock, this->reading.callTimeout, this->storeLatency);
+        node.store = std::make_unique<FakeStoreClient>(this->store, this->clock, this->reading, this->storeLatency);
         node.sharing = std::make_unique<SharedStoreReader>(this->reading.sharing, node.directory, this->clock, node.counters, node);
         node.targetWatcher = std::make_unique<ObjectWatcher>(
             *node.store, this->clock, index, std::string(targetKeyPrefix), [this, &node](const ObjectReadResult &read) { this->onTargets(node, read); },
@@ -424,7 +425,7 @@
     {
         Actions out;
         if (!read.objects.empty()) {
-            node.sharing->onStoreConfiguration(this->store.configuration, this->store.configurationRevision, out);
+            node.sharing->onStoreConfiguration(this->store.configuration, this->store.configurationRevision, read.requestedAt, out);
         }
         node.sharing->onStoreConfigurationConfirmed(read.requestedAt);
         this->send(this->indexOf(node), out);
