Soak: routes that move between services, probed at each instance; a store that refuses a third of the instances

soak-faults could not see the incident: its routes came and went but never changed their service, its store never answered with 503 or 429, and nothing compared what an instance does with the versions acknowledged. Each instance in rotation now gets an opening packet of two routes every 200 ms; they move through 8 services, so a target tells by which versions the instance forwards. Late by more than the bound, going back after 250 ms, and a reset are findings.

--- a/soak/faultsmain.cpp
+++ b/soak/faultsmain.cpp
@@ -3,6 +3,7 @@
 #include "run.h"
 
 #include <CLI/CLI.hpp>
+#include <algorithm>
 #include <fstream>
 #include <iostream>
 #include <random>
@@ -21,6 +22,7 @@
     uint32_t fresh = 0;
     uint32_t lengthSeconds = 28;
     size_t instances = 6;
+    std::vector<std::string> without; // names of kinds of steps
     bool isShrinking = false;
 };
 
@@ -62,7 +64,9 @@
 
 bool playSeed(const Options &options, uint64_t seed)
 {
-    const Plan plan = drawPlan(seed, seconds(options.lengthSeconds), calmEnd);
+    Plan plan = drawPlan(seed, seconds(options.lengthSeconds), calmEnd);
+    std::erase_if(plan,
+                  [&](const Step &step) { return std::find(options.without.begin(), options.without.end(), nameOf(step.kind)) != options.without.end(); });
     const RunResult result = play(options, seed, plan);
     std::printf("seed %llu: %zu steps, %llu flows opened, %llu requests answered, %llu tries failed, %llu resets, %zu broken\n",
                 static_cast<unsigned long long>(seed), plan.size(), static_cast<unsigned long long>(result.opened),
@@ -72,8 +76,12 @@
         std::filesystem::remove_all(logDirOf(seed));
         return true;
     }
-    std::printf("again: soak-faults --seeds %llu --length %u --instances %zu; logs in %s; schedule:\n%s", static_cast<unsigned long long>(seed),
-                options.lengthSeconds, options.instances, logDirOf(seed).c_str(), toText(plan).c_str());
+    std::string without;
+    for (const std::string &kind : options.without) {
+        without += (without.empty() ? " --without " : " ") + kind;
+    }
+    std::printf("again: soak-faults --seeds %llu --length %u --instances %zu%s; logs in %s; schedule:\n%s", static_cast<unsigned long long>(seed),
+                options.lengthSeconds, options.instances, without.c_str(), logDirOf(seed).c_str(), toText(plan).c_str());
     if (options.isShrinking) {
         std::printf("smallest schedule that still fails:\n%s", toText(shrink(options, seed, plan)).c_str());
     }
@@ -102,6 +110,7 @@
     app.add_option("--length", options.lengthSeconds, "seconds of traffic of a run")->check(CLI::Range(14, 600))->capture_default_str();
     app.add_option("--instances", options.instances, "balancers")->check(CLI::Range(2, 200))->capture_default_str();
     app.add_option("--binaries", options.binaries, "folder of hornbeamd and standins-platform")->check(CLI::ExistingDirectory)->capture_default_str();
+    app.add_option("--without", options.without, "kinds of steps to leave out of the schedule")->check(CLI::IsMember(namesOfSteps()));
     app.add_flag("--shrink", options.isShrinking, "look for a smaller schedule that still fails");
     CLI11_PARSE(app, argc, argv);
     try {
--- a/soak/instances.cpp
+++ b/soak/instances.cpp
@@ -63,6 +63,7 @@
     instance.process = std::make_unique<Process>(std::vector<std::string>{ this->places.binary, "--settings", instance.settingsFile }, instance.logFile);
     instance.stoppedAt = TimePoint{};
     instance.isKilled = false;
+    ++instance.starts;
 }
 
 bool Instances::areReady() const
--- a/soak/instances.h
+++ b/soak/instances.h
@@ -33,6 +33,7 @@
     bool isCut = false; // its packets reach no target
     std::atomic<bool> isReady{ false };
     std::atomic<uint32_t> misses{ 0 };
+    uint64_t starts = 0; // of processes
 };
 
 /** Not thread safe: one event loop owns it; a thread of its own asks whether instances are ready. */
--- a/soak/plan.cpp
+++ b/soak/plan.cpp
@@ -12,21 +12,34 @@
 constexpr milliseconds oddEntryGap(8000);
 constexpr milliseconds shortestFault(300);
 constexpr milliseconds longestFault(3500);
+constexpr milliseconds shortestMoveGap(400);
+constexpr milliseconds longestMoveGap(2500);
+constexpr milliseconds shortestRefusal(2000);
+constexpr milliseconds longestRefusal(9000);
 }
 
 std::string_view nameOf(StepKind kind)
 {
     constexpr std::array<std::string_view, static_cast<size_t>(StepKind::Count)> names{
-        "restart_instance", "roll_instances", "reload_settings", "replace_target", "add_route",     "drop_route",  "change_storm",
-        "kill_instance",    "kill_half",      "pause_instance",  "crash_target",   "freeze_target", "cut_link",    "silence_store",
-        "reset_store",      "delay_store",    "cut_store",       "lapse_entry",    "lose_writes",   "pause_store", "odd_entry"
+        "restart_instance", "roll_instances", "reload_settings", "replace_target", "add_route", "drop_route",    "change_storm", "kill_instance",
+        "kill_half",        "pause_instance", "crash_target",    "freeze_target",  "cut_link",  "silence_store", "reset_store",  "delay_store",
+        "cut_store",        "lapse_entry",    "lose_writes",     "pause_store",    "odd_entry", "move_route",    "refuse_store"
     };
     return names[static_cast<size_t>(kind)];
 }
 
+std::vector<std::string> namesOfSteps()
+{
+    std::vector<std::string> names;
+    for (int kind = 0; kind < static_cast<int>(StepKind::Count); ++kind) {
+        names.emplace_back(nameOf(static_cast<StepKind>(kind)));
+    }
+    return names;
+}
+
 bool isPlanned(StepKind kind)
 {
-    return kind <= StepKind::ChangeStorm || kind == StepKind::OddEntry;
+    return kind <= StepKind::ChangeStorm || kind == StepKind::OddEntry || kind == StepKind::MoveRoute;
 }
 
 // Drawn apart from the other steps, so that each seed keeps those.
@@ -39,6 +52,31 @@
     for (Duration at = between(shortestGap, oddEntryGap); at < length; at += between(shortestGap, oddEntryGap)) {
         plan.push_back({ at, StepKind::OddEntry, static_cast<uint32_t>(random()), between(shortestFault, longestFault) });
     }
+    return plan;
+}
+
+// Drawn apart as well.
+Plan withConfigurationSteps(Plan plan, uint64_t seed, Duration length, Duration calm)
+{
+    std::mt19937_64 random(seed ^ 0x636F6E66ULL);
+    const auto between = [&random](milliseconds low, milliseconds high) {
+        return milliseconds(std::uniform_int_distribution<int64_t>(low.count(), high.count())(random));
+    };
+    for (Duration at = shortestMoveGap; at < length; at += between(shortestMoveGap, longestMoveGap)) {
+        plan.push_back({ at, StepKind::MoveRoute, static_cast<uint32_t>(random()), Duration{ 0 } });
+    }
+    for (Duration at = between(shortestGap, longestGap); at < length - calm;) {
+        const Duration lasts = between(shortestRefusal, longestRefusal);
+        if (at + lasts <= length - calm) {
+            plan.push_back({ at, StepKind::RefuseStore, static_cast<uint32_t>(random()), lasts });
+        }
+        at += lasts + between(shortestGap, longestGap);
+    }
+    return plan;
+}
+
+Plan sorted(Plan plan)
+{
     std::stable_sort(plan.begin(), plan.end(), [](const Step &a, const Step &b) { return a.at < b.at; });
     return plan;
 }
@@ -64,7 +102,7 @@
         if (step.at + step.lasts > length - calm) {
             plan.push_back(lastRelease);
             plan.push_back(lastEdit);
-            return withOddEntries(std::move(plan), seed, length);
+            return sorted(withConfigurationSteps(withOddEntries(std::move(plan), seed, length), seed, length, calm));
         }
         plan.push_back(step);
     }
--- a/soak/plan.h
+++ b/soak/plan.h
@@ -35,10 +35,15 @@
     PauseStore,   // the process of the store stands still
     // harmless
     OddEntry, // another writer leaves an unusable entry among those of the targets
+    // drawn apart
+    MoveRoute,   // planned: a route's flows go to another service
+    RefuseStore, // a third of the instances get HTTP status 503 or 429 from the store
     Count,
 };
 
 std::string_view nameOf(StepKind kind);
+/** The names of all kinds. Thread safe. */
+std::vector<std::string> namesOfSteps();
 /** Whether no promise is eased by the step. */
 bool isPlanned(StepKind kind);
 
--- a/soak/run.cpp
+++ b/soak/run.cpp
@@ -8,6 +8,7 @@
 #include "platform/flowobjects.h"
 #include "platform/packetheader.h"
 #include "platform/platformcodec.h"
+#include "routeprobes.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
@@ -37,7 +38,11 @@
 constexpr milliseconds rollGap(700);
 constexpr milliseconds stormGap(330);
 constexpr int stormChanges = 5;
-constexpr milliseconds leaveAfter(8000); // a drained target stays for the drain bound and, at times, for seconds more
+constexpr milliseconds probeInterval(200); // of each probed route at each instance
+constexpr uint16_t firstProbePort = 1024;
+constexpr uint16_t lastProbePort = 19999; // callers' ports are above
+constexpr uint32_t refusedShare = 3;      // one in so many instances
+constexpr milliseconds leaveAfter(8000);  // a drained target stays for the drain bound and, at times, for seconds more
 
 struct RouteLife
 {
@@ -55,6 +60,7 @@
         , store{ this->network + storeNet + 1, storePort }
         , storeProcess(std::vector<std::string>{ settings.binaries + "/standins-platform", "--listen", toString(this->store) }, settings.dir / "store.log")
         , operators(this->store, seconds(3))
+        , probes(this->clock, this->findings, this->probeHooks())
         , targets(this->context, this->clock, this->findings, this->targetHooks())
         , callers(this->clock, this->findings, this->targets, this->callerHooks(), settings.seed)
         , timer(this->context)
@@ -91,6 +97,9 @@
                 this->list(this->targets.add(service, zone, {}));
             }
         }
+        for (size_t i = 0; i < probedServices; ++i) {
+            this->list(this->targets.add(probedServiceName(i), i % 2 == 0 ? "zone-1" : "zone-2", {}));
+        }
         this->addRoute("feed", RequestKind::Idempotent, "booking");
         this->addRoute("order", RequestKind::NonIdempotent, "booking");
         this->addRoute("documents", RequestKind::Idempotent, "catalogue");
@@ -133,6 +142,21 @@
             return life != nullptr && life->dropped != TimePoint{} && now - life->dropped > changeBound;
         };
         hooks.answer = [this](const Answer &answer) { this->callers.onAnswer(answer); };
+        hooks.takeProbe = [this](const FlowKey &flow, const SoakTarget &target, uint32_t instance) {
+            const bool isProbe = this->probes.isProbed(flow.service);
+            if (isProbe) {
+                this->probes.onOpening(flow.service, target.record.service, instance);
+            }
+            return isProbe;
+        };
+        return hooks;
+    }
+
+    RouteProbes::Hooks probeHooks()
+    {
+        RouteProbes::Hooks hooks;
+        hooks.isInTouch = [this](uint32_t address, TimePoint now) { return this->isInTouch(address, now); };
+        hooks.processOf = [this](uint32_t address) { return this->instances->find(address)->starts; };
         return hooks;
     }
 
@@ -173,6 +197,9 @@
             const std::optional<FlowPacket> packet = error ? std::nullopt : parsePacket(caller.buffer.data(), size);
             if (packet.has_value() && packet->isReset) {
                 const FlowKey flow{ packet->flow.service, packet->flow.caller }; // it goes the other way
+                if (this->probes.isProbed(flow.service)) {
+                    this->probes.onReset(flow.service, caller.sender.address().to_v4().to_uint());
+                }
                 this->callers.onReset(flow, packet->sequence, caller.sender.address().to_v4().to_uint());
             } else if (!error) {
                 this->findings.add(this->clock.now(), "a caller got a packet of an instance that is no reset");
@@ -192,6 +219,31 @@
         }
     }
 
+    // Opens a flow of each probed route at each instance that routers use.
+    void sendProbes()
+    {
+        const TimePoint now = this->clock.now();
+        if (now < this->nextProbes) {
+            return;
+        }
+        this->nextProbes = now + probeInterval;
+        CallerSocket &caller = *this->callerSockets.front();
+        for (const auto &instance : this->instances->all) {
+            for (const Endpoint &route : this->probes.addresses()) {
+                this->probePort = this->probePort < lastProbePort ? this->probePort + 1 : firstProbePort;
+                FlowPacket packet;
+                packet.flow = { { caller.address, this->probePort }, route };
+                packet.sequence = static_cast<uint32_t>(++this->probeCount);
+                packet.isOpening = true;
+                error_code ignored; // a lost probe is one less
+                if (instance->isReady) {
+                    caller.socket.send_to(boost::asio::buffer(standins::writeCallerPacket(packet, {})),
+                                          udp::endpoint(boost::asio::ip::address_v4(instance->address), packetPort), 0, ignored);
+                }
+            }
+        }
+    }
+
     //--- The operators
 
     // writes wait while the store stands still, since they block
@@ -306,7 +358,11 @@
                     configuration.routes.push_back(life.route);
                 }
             }
+            for (Route &route : this->probes.routesFor(this->version)) {
+                configuration.routes.push_back(std::move(route));
+            }
             this->put(std::string(configurationKey), standins::writeConfiguration(configuration));
+            this->probes.onAcknowledged();
             const TimePoint now = this->clock.now();
             for (RouteLife &life : this->routes) {
                 if (this->isDropping(life) && life.dropped == TimePoint{}) {
@@ -374,6 +430,9 @@
         case StepKind::OddEntry:
             this->leaveOddEntry(step);
             break;
+        case StepKind::MoveRoute:
+            this->moveRoute(step.subject);
+            break;
         case StepKind::ReplaceTarget:
         case StepKind::CrashTarget:
         case StepKind::FreezeTarget:
@@ -403,6 +462,12 @@
         }
     }
 
+    void moveRoute(uint32_t subject)
+    {
+        this->probes.move(subject);
+        this->writeConfiguration();
+    }
+
     void dropRoute(uint32_t subject)
     {
         std::vector<RouteLife *> extra;
@@ -444,6 +509,10 @@
             this->setProxies({ &instance }, step.kind == StepKind::SilenceStore ? ProxyMode::Silent : ProxyMode::Reset, step.lasts);
             return;
         }
+        if (step.kind == StepKind::RefuseStore) {
+            this->refuseStore(step);
+            return;
+        }
         this->disturb(this->storeLife, step.lasts);
         if (step.kind == StepKind::PauseStore) {
             this->storeProcess.signal(SIGSTOP);
@@ -458,6 +527,18 @@
         this->setProxies(this->allInstances(), step.kind == StepKind::DelayStore ? ProxyMode::Delay : ProxyMode::Silent, step.lasts);
     }
 
+    // The configuration changes as the store serves them again.
+    void refuseStore(const Step &step)
+    {
+        std::vector<Instance *> refused;
+        for (size_t i = step.subject % refusedShare; i < this->instances->all.size(); i += refusedShare) {
+            refused.push_back(this->instances->all[i].get());
+            this->disturb(refused.back()->disturbance, step.lasts);
+        }
+        this->setProxies(refused, step.subject / refusedShare % 2 == 0 ? ProxyMode::Busy : ProxyMode::Many, step.lasts);
+        this->later(step.lasts, [this, subject = step.subject] { this->moveRoute(subject); });
+    }
+
     std::vector<Instance *> allInstances()
     {
         std::vector<Instance *> all;
@@ -558,6 +639,9 @@
         this->instances->tick();
         this->targets.tick();
         this->callers.tick(elapsed < this->settings.length);
+        if (elapsed < this->settings.length) {
+            this->sendProbes();
+        }
         constexpr seconds ending(4); // for the requests that are under way
         if (elapsed >= this->settings.length + ending) {
             this->context.stop();
@@ -580,6 +664,7 @@
     Process storeProcess;
     BlockingPlatform operators;
     std::unique_ptr<Instances> instances;
+    RouteProbes probes;
     Targets targets;
     Callers callers;
     std::vector<std::unique_ptr<CallerSocket>> callerSockets;
@@ -589,6 +674,9 @@
     std::deque<RouteLife> routes; // also dropped ones
     std::set<std::string> dropping;
     uint64_t version = 0;
+    uint64_t probeCount = 0;
+    uint16_t probePort = firstProbePort;
+    TimePoint nextProbes;
     std::deque<std::function<void()>> writes;
     std::multimap<TimePoint, std::function<void()>> due;
     size_t nextStep = 0;
--- a/soak/storeproxy.cpp
+++ b/soak/storeproxy.cpp
@@ -51,6 +51,22 @@
         this->isSilent = true;
     }
 
+    // Answers the first piece of a request, which holds its head, without the store.
+    void refuse(std::string response)
+    {
+        this->up.socket.async_read_some(boost::asio::buffer(this->up.buffer),
+                                        [self = this->shared_from_this(), response = std::move(response)](const error_code &error, size_t) {
+                                            if (error) {
+                                                return; // the instance has closed the connection
+                                            }
+                                            const auto text = std::make_shared<const std::string>(response);
+                                            boost::asio::async_write(self->up.socket, boost::asio::buffer(*text), [self, text](const error_code &, size_t) {
+                                                error_code ignored; // the connection ends in any case
+                                                self->up.socket.shutdown(tcp::socket::shutdown_send, ignored);
+                                            });
+                                        });
+    }
+
 private:
     struct Side
     {
@@ -119,7 +135,7 @@
     std::erase_if(this->links, [](const std::weak_ptr<Link> &link) { return link.expired(); });
     for (const std::weak_ptr<Link> &weak : this->links) {
         const std::shared_ptr<Link> link = weak.lock();
-        if (mode == ProxyMode::Reset) {
+        if (mode == ProxyMode::Reset || mode == ProxyMode::Busy || mode == ProxyMode::Many) {
             link->reset();
         } else if (mode == ProxyMode::Silent) {
             link->silence();
@@ -136,6 +152,9 @@
         const auto link = std::make_shared<Link>(*this, std::move(socket));
         if (this->mode == ProxyMode::Reset) {
             link->reset();
+        } else if (this->mode == ProxyMode::Busy || this->mode == ProxyMode::Many) {
+            const std::string status = this->mode == ProxyMode::Busy ? "503 Service Unavailable" : "429 Too Many Requests";
+            link->refuse("HTTP/1.1 " + status + "\r\nContent-Length: 0\r\nConnection: close\r\n\r\n");
         } else {
             if (this->mode == ProxyMode::Silent) {
                 link->silence();
--- a/soak/storeproxy.h
+++ b/soak/storeproxy.h
@@ -17,6 +17,8 @@
     Delay,  // each piece by `delay`
     Reset,  // open and new connections are reset
     Silent, // what the store sends does not arrive, also later on the same connection
+    Busy,   // open connections are reset, new ones get HTTP status 503
+    Many,   // the same with 429
 };
 
 /** Not thread safe: one event loop owns it. */
--- a/soak/targets.cpp
+++ b/soak/targets.cpp
@@ -137,6 +137,9 @@
 {
     const TimePoint now = this->clock.now();
     const uint32_t instance = target.sender.address().to_v4().to_uint();
+    if (this->hooks.takeProbe(packet.flow, target, instance)) {
+        return;
+    }
     const Route *route = this->hooks.findRoute(packet.flow.service);
     if (route == nullptr || route->shares.front().service != target.record.service) {
         this->findings.add(now, "target " + target.record.name + " of " + target.record.service + " got a new flow of another service's route");
--- a/soak/targets.h
+++ b/soak/targets.h
@@ -70,6 +70,7 @@
     std::function<const Route *(const Endpoint &address)> findRoute;              // also a dropped one
     std::function<bool(const Endpoint &address, TimePoint now)> isDroppedForLong; // no instance in touch may place its flows
     std::function<void(const Answer &answer)> answer;
+    std::function<bool(const FlowKey &flow, const SoakTarget &target, uint32_t instanceAddress)> takeProbe; // whether the opening packet is a probe's
 };
 
 /** Not thread safe: one event loop owns it. */
