Flows: a repeated opening packet is placed by the configuration in force

Cause: placeFlow sent a copy of an opening packet to the target of the first one when that target had answered somebody since, whatever the configuration said by then. Where the first packet was lost, the copy, up to 0.6 s later, is the packet that opens the flow. Change: the previous target is kept only if the route in force still sends flows to its service, or if the flow is open. An opening that two targets answer is allowed: the caller acknowledges one of them.

--- a/src/flows/flowforwarder.cpp
+++ b/src/flows/flowforwarder.cpp
@@ -62,7 +62,9 @@
     TargetPtr previousTarget = known != nullptr ? known->target : nullptr;
     const bool isAnswering = previousTarget != nullptr && (known->isOpen || previousTarget->lastProgress > known->firstSeen);
     const bool isMoveLimitReached = known != nullptr && known->openings > this->settings.maxOpeningMoves;
-    if (previousTarget != nullptr && (isAnswering || isMoveLimitReached) && previousTarget->phase == TargetPhase::Ready && !previousTarget->isSilent()) {
+    // The configuration may have changed since the previous opening packet.
+    const bool isPermitted = previousTarget != nullptr && (known->isOpen || RouteTable::hasShare(route, previousTarget->record.service));
+    if (isPermitted && (isAnswering || isMoveLimitReached) && previousTarget->phase == TargetPhase::Ready && !previousTarget->isSilent()) {
         ++known->openings;
         known->lastSeen = now;
         this->observer.onOpeningRepeated(*known, route, this->routes.version());
--- a/src/flows/routetable.cpp
+++ b/src/flows/routetable.cpp
@@ -100,4 +100,9 @@
     return nullptr;
 }
 
+bool RouteTable::hasShare(const Route &route, const std::string &service)
+{
+    return std::any_of(route.shares.begin(), route.shares.end(), [&](const RouteShare &share) { return share.service == service && share.weight > 0; });
+}
+
 } // namespace hornbeam
--- a/src/flows/routetable.h
+++ b/src/flows/routetable.h
@@ -85,6 +85,8 @@
      * has a weight above 0.
      */
     static const std::string *serviceOf(const Route &route, const FlowKey &flow);
+    /** Whether some new flows of a route go to a service. */
+    static bool hasShare(const Route &route, const std::string &service);
 
 private:
     uint64_t currentVersion = 0;
