Store: only what the store returned confirms the configuration, and from when it was asked

What callers would see: the reset of a flow of a route that had been added. An instance resets callers of unknown addresses while the configuration is confirmed. A process that had stood still reads one that was sent before, and takes the configuration as recent for 5 s; - a configuration that can't be parsed was ignored with a log line, but the one in force was taken as confirmed, here and by all members. Change: SharedStoreReader tells the observer when the request began, as it always did for responses of members, and says nothing while the store holds a newer configuration that can't be parsed. Members learn its revision with the response (a field at the end, 0 from older senders), so they don't start to read the store themselves: they would learn nothing newer. In the tests' store, a response now waits for a paused process.

--- a/src/apps/flowstore.cpp
+++ b/src/apps/flowstore.cpp
@@ -173,11 +173,11 @@
             if (configuration.configuration.has_value()) {
                 this->sharing.onStoreConfiguration(*configuration.configuration, object.version, read.requestedAt, out);
             } else {
+                this->sharing.onStoreConfigurationUnusable(object.version);
                 this->logEvent("configuration_ignored", { { "revision", object.version }, { "problem", configuration.problem } });
             }
         }
         this->sharing.onStoreConfigurationConfirmed(read.requestedAt);
-        this->observer.onConfigurationConfirmed(this->clock.now()); // the response has just been sent by the store
         this->link.send(out);
     }
 
--- a/src/peer/messages.h
+++ b/src/peer/messages.h
@@ -593,12 +593,13 @@
     std::vector<StoreRoute> routes; // added or changed
     std::vector<Endpoint> removed;
     std::vector<StoreConnectionLimit> connectionLimits; // of all services that have one
+    uint64_t unusableRevision = 0;                      // of the newest configuration that the sender could not parse; 0: none
 
     template<typename Visitor>
     void visitFields(Visitor &visit)
     {
         visit(this->from, this->revision, this->ageMs, this->hasContent, this->version, this->flowIdleTimeoutMs, this->routes, this->removed,
-              this->connectionLimits);
+              this->connectionLimits, this->unusableRevision);
     }
 };
 
--- a/src/sharing/sharedstorereader.cpp
+++ b/src/sharing/sharedstorereader.cpp
@@ -52,9 +52,22 @@
     }
 }
 
+void SharedStoreReader::onStoreConfigurationUnusable(uint64_t revision)
+{
+    this->unusableRevision = std::max(this->unusableRevision, revision);
+}
+
 void SharedStoreReader::onStoreConfigurationConfirmed(TimePoint requestedAt)
 {
-    this->configurations.confirm(this->configurations.revision(), requestedAt);
+    this->confirmConfiguration(this->configurations.revision(), requestedAt);
+}
+
+void SharedStoreReader::confirmConfiguration(uint64_t revision, TimePoint requestedAt)
+{
+    this->configurations.confirm(revision, requestedAt); // members would learn nothing newer by reading the store themselves
+    if (this->unusableRevision <= this->configurations.revision()) {
+        this->observer.onConfigurationConfirmed(requestedAt);
+    }
 }
 
 void SharedStoreReader::onStoreFailure()
@@ -94,6 +107,7 @@
     if (request.wantsSnapshot || request.targetsRevision != 0) {
         response.targets = this->targets.changesSince(request.targetsRevision, now);
         response.configuration = this->configurations.changesSince(request.configurationRevision, request.wantsSnapshot, now);
+        response.configuration.unusableRevision = this->unusableRevision;
     }
     this->counters.add(Counter::StoreNewsSent);
     const size_t entries =
@@ -174,6 +188,7 @@
 {
     const StoreConfigurationChanges &changes = response.configuration;
     const TimePoint requestedAt = arrived - milliseconds(changes.ageMs);
+    this->unusableRevision = std::max(this->unusableRevision, changes.unusableRevision);
     if (changes.revision > this->configurations.revision()) {
         const std::optional<RouteConfiguration> next = this->configurations.apply(changes);
         if (!next.has_value()) {
@@ -185,8 +200,7 @@
         this->observer.onConfigurationUpdate(*next, changes.revision, requestedAt, response.sender);
     }
     if (changes.revision != 0 && changes.revision >= this->configurations.revision()) {
-        this->configurations.confirm(changes.revision, requestedAt);
-        this->observer.onConfigurationConfirmed(requestedAt);
+        this->confirmConfiguration(changes.revision, requestedAt);
     }
 }
 
--- a/src/sharing/sharedstorereader.h
+++ b/src/sharing/sharedstorereader.h
@@ -39,7 +39,7 @@
     virtual void onTargetUpdate(const TargetUpdate &update, MemberId source) = 0;
     /** A configuration newer than all previous ones, returned by the store to a request begun at `requestedAt` or later. */
     virtual void onConfigurationUpdate(const RouteConfiguration &configuration, uint64_t revision, TimePoint requestedAt, MemberId source) = 0;
-    /** A store request begun at `requestedAt` returned no newer configuration. */
+    /** A store request begun at `requestedAt` returned no newer configuration, usable or not. */
     virtual void onConfigurationConfirmed(TimePoint requestedAt) = 0;
     /** Members can't provide the missing data: the store has to be read once. */
     virtual void onStoreReadNeeded(StoreResource resource) = 0;
@@ -62,6 +62,8 @@
     void onStoreConfiguration(const RouteConfiguration &configuration, uint64_t revision, TimePoint requestedAt, Actions &out);
     /** Records that a store call failed or timed out. */
     void onStoreFailure();
+    /** Records that the store holds a configuration that can't be parsed. The one in force isn't confirmed until a newer one is parsed. */
+    void onStoreConfigurationUnusable(uint64_t revision);
     /** Records that a store request begun at `requestedAt` returned no configuration other than those already handled. */
     void onStoreConfigurationConfirmed(TimePoint requestedAt);
 
@@ -102,6 +104,7 @@
     void answerHeldRequests(Actions &out);
     void applyTargets(const StoreResponse &response, TimePoint arrived, TimePoint now);
     void applyConfiguration(const StoreResponse &response, TimePoint arrived);
+    void confirmConfiguration(uint64_t revision, TimePoint requestedAt);
     bool isOutdated(StoreResource resource, TimePoint now) const;
     bool isLoaded() const;
 
@@ -112,6 +115,7 @@
     StoreObserver &observer;
     TargetView targets;
     ConfigurationView configurations;
+    uint64_t unusableRevision = 0; // of the newest configuration that can't be parsed, by this instance or by its source
 
     const TimePoint startedAt;
     MemberId currentSource = 0; // 0: the store
--- a/tests/sharing_test.cpp
+++ b/tests/sharing_test.cpp
@@ -273,6 +273,74 @@
     CHECK(zone.runUntil(seconds(2), [&] { return zone.allKnowDraining("target-5"); }) < milliseconds(100));
 }
 
+// Guards against a process that resets callers of a route which was added while it stood still, by a response of the store from before.
+TEST_CASE("a resumed process does not take a response that waited for it as recent")
+{
+    constexpr size_t pauses = 20; // at different points of a call
+    Zone zone(2);
+    const size_t reader = zone.reader();
+    REQUIRE(reader < 2);
+    for (size_t i = 0; i < pauses; ++i) {
+        zone.run(milliseconds(130));
+        zone.at(reader).isFrozen = true;
+        zone.run(seconds(3));
+        zone.store.configure(withRoutes(i + 2, 1 + i % 5), zone.clock.now());
+        zone.run(milliseconds(500));
+        zone.at(reader).isFrozen = false;
+        for (int step = 0; step < 50; ++step) {
+            zone.run(SharingNetwork::step);
+            CHECK(zone.ageBoundsHold());
+        }
+        zone.run(seconds(6));
+    }
+}
+
+// Guards against instances that take the configuration in force as confirmed although the store holds a newer one, which they can't parse.
+TEST_CASE("a configuration that can't be used confirms no older one")
+{
+    Zone zone(6);
+    const auto isConfirmedSince = [&zone](TimePoint since) {
+        return std::all_of(zone.nodes.begin(), zone.nodes.end(), [since](const auto &node) { return node->configurationConfirmed >= since; });
+    };
+    const TimePoint before = zone.clock.now();
+    zone.run(seconds(2));
+    REQUIRE(isConfirmedSince(before));
+
+    GIVEN("a configuration that no instance can parse")
+    {
+        zone.store.configure(makeConfiguration(2), zone.clock.now());
+        zone.store.isConfigurationUsable = false;
+        const TimePoint written = zone.clock.now();
+        const size_t callsBefore = zone.calls();
+        zone.run(seconds(20));
+
+        THEN("the one before stays in force but isn't confirmed by the reader or by members")
+        {
+            for (const auto &node : zone.nodes) {
+                CHECK(node->configuration.version == 1);
+                CHECK(node->configurationConfirmed < written);
+            }
+        }
+        THEN("members don't all start to read the store")
+        {
+            const size_t callsMeanwhile = zone.calls() - callsBefore;
+            zone.run(seconds(20));
+            CHECK(zone.calls() - callsBefore - callsMeanwhile < 80); // two resources, a call a second each
+        }
+        WHEN("a usable one follows")
+        {
+            zone.store.configure(makeConfiguration(3), zone.clock.now());
+            const TimePoint mended = zone.clock.now();
+            THEN("it is in force in time and confirmed again")
+            {
+                CHECK(zone.runUntil(seconds(30), [&] { return zone.allHaveVersion(3); }) < zone.flows.changeBound);
+                zone.run(seconds(2));
+                CHECK(isConfirmedSince(mended));
+            }
+        }
+    }
+}
+
 TEST_CASE("a member that starts during a store outage gets a full copy from another member, with its true age")
 {
     Zone zone;
--- a/tests/sharingnetwork.h
+++ b/tests/sharingnetwork.h
@@ -31,6 +31,7 @@
     std::map<std::string, std::pair<TargetRecord, uint64_t>> targets;
     RouteConfiguration configuration;
     uint64_t configurationRevision = 0;
+    bool isConfigurationUsable = true; // whether instances can parse it
     std::vector<Change> changes;
 
     void put(const TargetRecord &record, TimePoint now)
@@ -50,6 +51,7 @@
         ++this->revision;
         this->configuration = next;
         this->configurationRevision = this->revision;
+        this->isConfigurationUsable = true;
         this->changes.push_back({ this->revision, now, "", std::nullopt, next });
     }
 };
@@ -95,22 +97,29 @@
     /** Completes the calls that are due. */
     void tick()
     {
-        std::vector<Call> due;
+        this->receive();
+        std::vector<ReceivedReply> replies;
+        replies.swap(this->received);
+        for (const ReceivedReply &reply : replies) {
+            reply.done(reply.reply);
+        }
+    }
+    /** Sends the responses that are due. A frozen process finds them when it resumes. */
+    void receive()
+    {
         std::erase_if(this->waiting, [&](Call &call) {
             const bool isDue = this->isDue(call);
             if (isDue) {
-                due.push_back(std::move(call));
+                this->received.push_back({ this->replyTo(call), std::move(call.done) });
             }
             return isDue;
         });
-        for (const Call &call : due) {
-            call.done(this->replyTo(call));
-        }
     }
     /** Discards pending calls, as when the process ends. */
     void abandonCalls()
     {
         this->waiting.clear();
+        this->received.clear();
     }
     void setState(State next)
     {
@@ -134,6 +143,12 @@
         State state;
     };
 
+    struct ReceivedReply
+    {
+        PlatformReply reply;
+        PlatformCallback done;
+    };
+
     bool isDue(const Call &call) const
     {
         const Duration waited = this->clock.now() - call.begun;
@@ -180,6 +195,7 @@
     const Duration &latency; // of a response
     State state = State::Good;
     std::vector<Call> waiting;
+    std::vector<ReceivedReply> received;
 };
 
 class SharingNetwork
@@ -207,8 +223,9 @@
             this->configuration = next;
             this->configurationsFromMembers += source == 0 ? 0 : 1;
         }
-        void onConfigurationConfirmed(TimePoint /*asked*/) override
+        void onConfigurationConfirmed(TimePoint requestedAt) override
         {
+            this->configurationConfirmed = std::max(this->configurationConfirmed, requestedAt);
         }
         void onStoreReadNeeded(StoreResource resource) override
         {
@@ -228,6 +245,7 @@
         std::unique_ptr<ObjectWatcher> configurationWatcher;
         std::map<std::string, TargetRecord> targets; // as reported to the observer
         RouteConfiguration configuration;
+        TimePoint configurationConfirmed; // as reported to the observer
         std::vector<std::string> reasons;
         size_t configurationsFromMembers = 0; // received from other members
         bool isFrozen = false;
@@ -265,6 +283,7 @@
         node.isStopped = false;
         node.targets.clear();
         node.configuration = {};
+        node.configurationConfirmed = {};
         node.store = std::make_unique<FakeStoreClient>(this->store, this->clock, this->reading, this->storeLatency);
         node.sharing = std::make_unique<SharedStoreReader>(this->reading.sharing, node.directory, this->clock, node.counters, node);
         node.targetWatcher = std::make_unique<ObjectWatcher>(
@@ -305,6 +324,7 @@
             for (size_t i = 0; i < this->nodes.size(); ++i) {
                 Node &node = *this->nodes[i];
                 if (node.isStopped || node.isFrozen) {
+                    node.store->receive();
                     continue;
                 }
                 node.store->tick();
@@ -378,7 +398,8 @@
                 if (isTarget && change.at < targetsAsked && node->sharing->targetView().revision() < change.revision) {
                     return false;
                 }
-                if (!isTarget && change.at < configurationAsked && node->configuration.version < change.configuration.version) {
+                const bool isUnknown = node->configuration.version < change.configuration.version;
+                if (!isTarget && isUnknown && (change.at < configurationAsked || change.at < node->configurationConfirmed)) {
                     return false;
                 }
             }
@@ -424,7 +445,9 @@
     void onConfigurations(Node &node, const ObjectReadResult &read)
     {
         Actions out;
-        if (!read.objects.empty()) {
+        if (!read.objects.empty() && !this->store.isConfigurationUsable) {
+            node.sharing->onStoreConfigurationUnusable(this->store.configurationRevision);
+        } else if (!read.objects.empty()) {
             node.sharing->onStoreConfiguration(this->store.configuration, this->store.configurationRevision, read.requestedAt, out);
         }
         node.sharing->onStoreConfigurationConfirmed(read.requestedAt);
