Store: calls are repeated soon enough for the stability window after an outage

What callers would see: flows by an older configuration for some ms after the stability window (4 s) that follows an outage of the store. Cause: a list that began in the last moment of a silent outage times out after 3 s, and the delay before the next call was 0.5 to 1 s, whatever the window of the deployment. Change: the longest delay follows from the stability window, 0.5 s at 4 s, 1 s from 4.5 s on as before.

--- a/src/apps/storereadersettings.cpp
+++ b/src/apps/storereadersettings.cpp
@@ -14,7 +14,9 @@
 constexpr milliseconds coalescingDelay(300);    // the changes of a release arrive in bursts
 constexpr milliseconds fallbackReadMargin(500); // part of a time limit, for the direct read that starts when the members' data is outdated
 constexpr milliseconds minWatchTimeout(500);    // shorter timeouts only add calls and make updates no faster
-constexpr milliseconds latencyMargin(300);      // latency of a call and of a message between members
+constexpr milliseconds minBackoff(200);         // before the first retry of a failed call
+constexpr milliseconds maxBackoff(1000);
+constexpr milliseconds latencyMargin(300); // latency of a call and of a message between members
 
 // Upper bound on the age of the data that a member gets from the reader while the reader's calls succeed. Covers the call in progress, the one before it, and
 // the message to the member.
@@ -32,8 +34,9 @@
     settings.watchTimeout = std::max<Duration>(minWatchTimeout, std::min(detectionLimit, failoverLimit));
     settings.urgentWatchTimeout = milliseconds(500); // used while a target is missing
     settings.coalescingDelay = coalescingDelay;
-    settings.initialBackoff = milliseconds(200);
-    settings.maxBackoff = seconds(1);
+    settings.initialBackoff = minBackoff;
+    // a list that began at the end of an outage times out and is repeated before its changes have to be in force
+    settings.maxBackoff = std::clamp<Duration>(flows.stability - storeListTimeout - watchRetryMargin, minBackoff, maxBackoff);
     return settings;
 }
 }
--- a/tests/configurationbound_test.cpp
+++ b/tests/configurationbound_test.cpp
@@ -203,3 +203,25 @@
     });
     CHECK(passed);
 }
+
+// Guards against an instance that is still behind when the stability window after an outage is over, because a call of the last moment had to time out first.
+TEST_CASE("a call that began at the end of an outage leaves time to read the configuration within the stability window")
+{
+    constexpr uint64_t outages = 1000;  // each with another random delay
+    constexpr size_t listsInOutage = 4; // after as many failures the delay is the longest
+    SharingNetwork zone(1);
+    zone.store.put(makeTarget("target-1"), zone.clock.now());
+    zone.store.configure(makeConfiguration(1), zone.clock.now());
+    zone.run(seconds(4));
+    FakeStoreClient &client = *zone.nodes.front()->store;
+    for (uint64_t outage = 1; outage <= outages; ++outage) {
+        CAPTURE(outage);
+        client.setState(FakeStoreClient::State::Silent);
+        const size_t listsBefore = client.configurationLists;
+        zone.runUntil(seconds(60), [&] { return client.configurationLists == listsBefore + listsInOutage; });
+        zone.store.configure(makeConfiguration(outage + 1), zone.clock.now());
+        client.setState(FakeStoreClient::State::Good); // the call that has just begun stays without a response
+        zone.run(zone.flows.stability);
+        CHECK(zone.allHaveVersion(outage + 1));
+    }
+}
--- a/tests/sharingnetwork.h
+++ b/tests/sharingnetwork.h
@@ -86,6 +86,7 @@
     void list(const std::string &prefix, PlatformCallback done) override
     {
         ++this->calls;
+        this->configurationLists += prefix == configurationKeyPrefix ? 1 : 0;
         this->waiting.push_back({ prefix, 0, true, this->clock.now(), Duration{ 0 }, std::move(done), this->state });
     }
     void watch(const std::string &prefix, uint64_t after, Duration timeout, PlatformCallback done) override
@@ -130,6 +131,7 @@
     }
 
     size_t calls = 0;
+    size_t configurationLists = 0;
 
 private:
     struct Call
