Platform: an entry whose name identifies no process names no target

Another writer's entry with all fields but a name without hexadecimal digits was used with a delivery identifier of 0, which any process at the address accepts, also one of another service (ROUTE).

--- a/tests/oddentries_test.cpp
+++ b/tests/oddentries_test.cpp
@@ -331,6 +331,20 @@
     }
 }
 
+// Guards against flows that any process at an entry's address takes, whatever service it belongs to.
+TEST_CASE("an entry of the store whose name identifies no process names no target")
+{
+    for (const std::string name : { "xyz", "-", "" }) {
+        CAPTURE(name);
+        PlatformReply reply;
+        REQUIRE(parseObject(object(name, soundSpec()), std::string(targetPrefix), reply));
+        CHECK_FALSE(parseTarget(reply.objects.front()).record.has_value());
+    }
+    PlatformReply reply;
+    REQUIRE(parseObject(object("i-0", soundSpec()), std::string(targetPrefix), reply));
+    CHECK(parseTarget(reply.objects.front()).record.has_value());
+}
+
 TEST_CASE("whatever one entry of a list or a watch holds, the others are read and nothing out of range is used")
 {
     CHECK(rc::check("odd entries", [](uint32_t seed) {
