Flows: a target that had drained is no last resort while its entry is missing

Cause: the entry's removal made the draining target a missing one, and missing targets are the last resort for new flows, also when they had drained. The new process, under the same name and address, accepted them by the token of the old one, and they were reset when the instance heard of the new process. Change: a missing target that had drained gets no new flows. If there is no other, they are rejected at once: nothing has run, and the caller may retry. Evidence: 'target lifecycle', section 'a target that drained and is missing gets no new flows', written first: failed.

--- a/src/flows/targetchooser.cpp
+++ b/src/flows/targetchooser.cpp
@@ -35,7 +35,9 @@
     double bestLoad = 0;
     uint32_t ties = 0;
     for (const TargetPtr &target : targets) {
-        if (target->phase != phase || target->isIdentityUnverified != isIdentityUnverified || (target->isSilent() && !isIdentityUnverified)
+        // A missing target that had drained has ended, or is about to. Another process may have its name and address already.
+        const bool hasDrained = phase == TargetPhase::Missing && target->record.isDraining;
+        if (target->phase != phase || hasDrained || target->isIdentityUnverified != isIdentityUnverified || (target->isSilent() && !isIdentityUnverified)
             || target->isTokenTaken || target == excluded) {
             continue;
         }
--- a/src/flows/targetchooser.h
+++ b/src/flows/targetchooser.h
@@ -18,8 +18,9 @@
 
     /**
      * Returns the target with the fewest outstanding requests and open flows per slot, weighted by its speed. Targets in the own availability zone are
-     * preferred unless they are much busier than the others. Missing targets are used only if no ready target is available, and targets that refused a
-     * connection and may have been replaced by another process only as a last resort. Returns null if no target accepts new flows. `excluded` may be null.
+     * preferred unless they are much busier than the others. Missing targets that were not draining are used only if no ready target is available, and
+     * targets that refused a connection and may have been replaced by another process only as a last resort. Returns null if no target accepts new flows.
+     * `excluded` may be null.
      */
     TargetPtr choose(const std::vector<TargetPtr> &targets, const TargetPtr &excluded);
 
--- a/tests/flowforwarder_test.cpp
+++ b/tests/flowforwarder_test.cpp
@@ -193,6 +193,17 @@
         fixture.forwarder.onTargetChanges({ draining, makeTarget("b2") }, {}, fixture.clock.now(), fixture.actions);
         CHECK(fixture.open(2).target->record.name == "b2");
     }
+    // Guards against flows that a new process accepts by the token of the process that had drained before it, and that are reset when the new one is listed.
+    SECTION("a target that drained and is missing gets no new flows")
+    {
+        fixture.list({ draining });
+        fixture.list({});
+        CHECK(fixture.send(1, opened.token, 1001, 5000, 10).kind == PacketDecision::Kind::Forward);
+        CHECK(fixture.open(2).kind == PacketDecision::Kind::Reset);
+        CHECK(fixture.resets(ResetReason::NoTarget) == 1);
+        fixture.list({ makeTarget("b1", localZone, "booking", 2) });
+        CHECK(fixture.open(2).kind == PacketDecision::Kind::Forward);
+    }
     SECTION("a missing target keeps its flows and gets new ones only as a last resort")
     {
         fixture.list({});
