Flows: a draining target that refuses connections has not ended before its entry is gone

Callers may not repeat a non-idempotent request, so orders were lost that had run. Cause: a draining target that refused a connection, and again 300 ms later without an answer in between, counted as ended. Change: while the entry of a draining target is listed, a refused connection proves nothing. Its entry goes when it leaves, or lapses if it crashes; then the next refusal is proof, as before. Price: flows of a target that crashes while it drains are reset when its entry lapses, not within a second. The setting ending_patience_ms keeps its name and its meaning for full targets.

--- a/src/apps/tunables.cpp
+++ b/src/apps/tunables.cpp
@@ -105,7 +105,7 @@
     flowTunable<&FlowSettings::minAnswerTimeout>("answer_patience_ms", 5, 60'000),
     flowTunable<&FlowSettings::answerTimeoutFactor>("late_factor", 1, 100),
     flowTunable<&FlowSettings::maxRelatedChecks>("sweep_checks", 0, 10'000),
-    flowTunable<&FlowSettings::drainRefusalGrace>("ending_patience_ms", 0, 60'000),
+    flowTunable<&FlowSettings::refusalGrace>("ending_patience_ms", 0, 60'000),
     flowTunable<&FlowSettings::recentAnswerAge>("recent_answer_ms", 0, 60'000),
     flowTunable<&FlowSettings::fullTargetMargin>("full_target_margin", 0, 1000),
     flowTunable<&FlowSettings::checkInterval>("check_interval_ms", 10, minuteMs),
--- a/src/flows/passivehealth.cpp
+++ b/src/flows/passivehealth.cpp
@@ -97,15 +97,20 @@
     return hasJustAnswered || hasAnsweredSinceRefusal;
 }
 
-// A target that shuts down gracefully no longer accepts connections while it sends its last answers, and neither does one that is full. The grace period starts
-// with the first refusal after an answer. Returns whether the target is within it.
+// A target that shuts down gracefully no longer accepts connections while it works on its last requests, however long they take: it has not ended before its
+// entry is gone. One that is full refuses connections, too; its grace period starts with the first refusal after an answer. Returns whether to check again
+// later.
 bool PassiveHealth::applyRefusalGrace(Target &target, TimePoint now) const
 {
     if (target.refusedAt == TimePoint{} || target.lastProgress > target.refusedAt) {
         target.refusedAt = now;
-        target.nextCheck = now + this->settings.drainRefusalGrace;
+        target.nextCheck = now + this->settings.refusalGrace;
     }
-    return now - target.refusedAt < this->settings.drainRefusalGrace;
+    if (target.phase == TargetPhase::Draining) {
+        target.nextCheck = now + this->settings.refusalGrace;
+        return true;
+    }
+    return now - target.refusedAt < this->settings.refusalGrace;
 }
 
 // After a refused connection, another process may have bound the address. The target is only known to be alive if the store still lists it at a time when
