--- a/tests/configurationbound_test.cpp
+++ b/tests/configurationbound_test.cpp
@@ -184,6 +184,7 @@
 
 } // namespace
 
+// Guards against instances of a zone that forward by an old configuration because, once refused by the store, they never read it again.
 TEST_CASE("an instance that was undisturbed for the stability window has each configuration in force in time and never returns to an older one")
 {
     const bool passed = rc::check("random faults and changes", [] {
