--- a/soak/plan.cpp
+++ b/soak/plan.cpp
@@ -31,6 +31,7 @@
 std::vector<std::string> namesOfSteps()
 {
     std::vector<std::string> names;
+    names.reserve(static_cast<size_t>(StepKind::Count));
     for (int kind = 0; kind < static_cast<int>(StepKind::Count); ++kind) {
         names.emplace_back(nameOf(static_cast<StepKind>(kind)));
     }
