--- a/soak/routeprobes.cpp
+++ b/soak/routeprobes.cpp
@@ -9,6 +9,8 @@
 constexpr uint16_t routePort = 1;
 constexpr milliseconds regressionSlack(250); // from the first effect of a version to the last flow by an older one
 constexpr seconds reportInterval(1);
+constexpr uint16_t firstPort = 1024;
+constexpr uint16_t portCount = 18'000; // callers' ports are above
 }
 
 std::string probedServiceName(size_t service)
@@ -69,18 +71,22 @@
     return this->routes.contains(address);
 }
 
-std::vector<Endpoint> RouteProbes::addresses() const
+std::vector<FlowPacket> RouteProbes::nextPackets(uint32_t callerAddress)
 {
-    std::vector<Endpoint> all;
+    std::vector<FlowPacket> packets;
     for (const auto &[address, spans] : this->routes) {
-        all.push_back(address);
+        ++this->packetCount;
+        FlowPacket packet;
+        packet.flow = { { callerAddress, static_cast<uint16_t>(firstPort + this->packetCount % portCount) }, address };
+        packet.sequence = this->packetCount;
+        packet.isOpening = true;
+        packets.push_back(packet);
     }
-    return all;
+    return packets;
 }
 
 void RouteProbes::onOpening(const Endpoint &address, const std::string &service, uint32_t instanceAddress)
 {
-    ++this->taken;
     const TimePoint now = this->clock.now();
     const std::deque<Span> &spans = this->routes.at(address);
     const auto span = std::find_if(spans.rbegin(), spans.rend(), [&](const Span &candidate) { return probedServiceName(candidate.service) == service; });
--- a/soak/routeprobes.h
+++ b/soak/routeprobes.h
@@ -3,6 +3,7 @@
 // Routes that move from service to service, and probes of them at each instance: which configuration does it forward by?
 
 #include "findings.h"
+#include "flows/flowpacket.h"
 #include "flows/routetable.h"
 
 #include <deque>
@@ -35,16 +36,17 @@
     void onAcknowledged();
     /** Whether the address is that of a probed route. */
     bool isProbed(const Endpoint &address) const;
-    std::vector<Endpoint> addresses() const;
+    /** An opening packet of a new flow of each probed route. */
+    std::vector<FlowPacket> nextPackets(uint32_t callerAddress);
 
     /** A target of `service` took the opening packet of a probe from an instance. */
     void onOpening(const Endpoint &address, const std::string &service, uint32_t instanceAddress);
     /** An instance reset the opening packet of a probe. */
     void onReset(const Endpoint &address, uint32_t instanceAddress);
 
-    uint64_t taken = 0; // opening packets
-
 private:
+    void report(uint32_t instanceAddress, const std::string &problem);
+
     /** The versions in a row that send a route's flows to one service. */
     struct Span
     {
@@ -67,7 +69,7 @@
     std::map<Endpoint, std::deque<Span>> routes; // oldest span first
     std::map<uint32_t, Effect> effects;          // by instance
     std::map<uint32_t, TimePoint> reported;      // by instance: one finding a second
-    void report(uint32_t instanceAddress, const std::string &problem);
+    uint32_t packetCount = 0;
 };
 
 /** Name of a probed service. Thread safe. */
