--- a/tests/flowplatform_test.cpp
+++ b/tests/flowplatform_test.cpp
@@ -172,6 +172,73 @@
     }
 }
 
+// Guards against limits and timeouts that become small or negative when they don't fit. A configuration that the store accepted is valid, so it isn't rejected.
+TEST_CASE("numbers of a configuration that don't fit count as the largest that does")
+{
+    const auto parse = [](const std::string &number) {
+        const std::string text = R"({"version":7,"routes":[{"name":"r","host":"198.18.0.1","pathPrefix":"/443/","kind":"safe","priority":)" + number
+            + R"(,"timeoutMs":)" + number + R"(,"targetLatencyMs":)" + number + R"(,"split":[{"service":"booking","weight":)" + number
+            + R"(}]}],"services":[{"name":"booking","maxConnections":)" + number + R"(}],"limits":{"idleTimeoutMs":)" + number + "}}";
+        return parseConfiguration({ "config/main", 3, text, false });
+    };
+    constexpr uint32_t largest = std::numeric_limits<uint32_t>::max();
+    for (const std::string number : { "4294967295", "4294967296", "9223372036854775808", "18446744073709551615" }) {
+        CAPTURE(number);
+        const ParsedConfiguration parsed = parse(number);
+        REQUIRE(parsed.configuration.has_value());
+        const Route &route = parsed.configuration->routes.at(0);
+        CHECK(route.priority == largest);
+        CHECK(route.timeout == milliseconds(largest));
+        CHECK(route.latencyTarget == milliseconds(largest));
+        CHECK(route.shares.at(0).weight == largest);
+        CHECK(parsed.configuration->connectionLimits.at("booking") == largest);
+        CHECK(parsed.configuration->idleTimeout == milliseconds(largest));
+    }
+}
+
+// Guards against a configuration that never comes into force, with all its other edits, because one of its numbers isn't an integer.
+TEST_CASE("numbers of a configuration that aren't whole are used")
+{
+    const auto parse = [](const std::string &time, const std::string &firstWeight, const std::string &secondWeight) {
+        const std::string text = R"({"version":7,"routes":[{"name":"r","host":"198.18.0.1","pathPrefix":"/443/","kind":"safe","timeoutMs":)" + time
+            + R"(,"targetLatencyMs":)" + time + R"(,"split":[{"service":"booking","weight":)" + firstWeight + R"(},{"service":"catalogue","weight":)"
+            + secondWeight + R"(}]}],"services":[{"name":"booking","maxConnections":)" + time + R"(}],"limits":{"idleTimeoutMs":)" + time + "}}";
+        return parseConfiguration({ "config/main", 3, text, false });
+    };
+    SECTION("times and limits are rounded")
+    {
+        const ParsedConfiguration parsed = parse("1500.5", "90", "10");
+        REQUIRE(parsed.configuration.has_value());
+        const Route &route = parsed.configuration->routes.at(0);
+        CHECK(route.timeout == milliseconds(1501));
+        CHECK(route.latencyTarget == milliseconds(1501));
+        CHECK(parsed.configuration->connectionLimits.at("booking") == 1501);
+        CHECK(parsed.configuration->idleTimeout == milliseconds(1501));
+        CHECK(route.shares == std::vector<RouteShare>{ { "booking", 90 }, { "catalogue", 10 } });
+    }
+    SECTION("large ones count as the largest that fits")
+    {
+        REQUIRE(parse("1e30", "1", "1").configuration.has_value());
+        CHECK(parse("1e30", "1", "1").configuration->routes.at(0).timeout == milliseconds(std::numeric_limits<uint32_t>::max()));
+    }
+    SECTION("weights keep their proportion")
+    {
+        const ParsedConfiguration parsed = parse("1000", "0.9", "0.1");
+        REQUIRE(parsed.configuration.has_value());
+        const std::vector<RouteShare> &shares = parsed.configuration->routes.at(0).shares;
+        CHECK(shares.at(0).weight == 9 * shares.at(1).weight);
+        CHECK(shares.at(1).weight > 0);
+        CHECK(parse("1000", "99.5", "0").configuration->routes.at(0).shares.at(1).weight == 0);
+        const std::vector<RouteShare> tiny = parse("1000", "1e-9", "0.5").configuration->routes.at(0).shares;
+        CHECK(tiny.at(0).weight == 1); // not 0: the route has the service
+    }
+    SECTION("negative ones are rejected")
+    {
+        CHECK_FALSE(parse("-0.5", "1", "1").configuration.has_value());
+        CHECK_FALSE(parse("1000", "-0.5", "1").configuration.has_value());
+    }
+}
+
 TEST_CASE("list and watch responses of the store are parsed")
 {
     SECTION("pages are combined, and the revision for the watch is that of the first page")
--- a/tests/oddentries_test.cpp
+++ b/tests/oddentries_test.cpp
@@ -2,6 +2,7 @@
 
 #include "apps/storereadersettings.h"
 #include "core/jsontext.h"
+#include "nestedjson.h"
 #include "platform/flowobjects.h"
 #include "platform/platformcodec.h"
 
@@ -20,19 +21,6 @@
 constexpr size_t soundEntries = 5;
 constexpr size_t largestNesting = 500'000; // of an entry of 1 MB
 
-std::string nested(size_t depth, const std::string &open, const std::string &close)
-{
-    std::string text;
-    for (size_t i = 0; i < depth; ++i) {
-        text += open;
-    }
-    text += "1";
-    for (size_t i = 0; i < depth; ++i) {
-        text += close;
-    }
-    return text;
-}
-
 std::string soundSpec(const std::string &changedField = "", const std::string &changedValue = "")
 {
     const std::vector<std::pair<std::string, std::string>> fields{
@@ -375,128 +363,3 @@
         }
     }));
 }
-
-// Guards against limits and timeouts that become small or negative when they don't fit. A configuration that the store accepted is valid, so it isn't rejected.
-TEST_CASE("numbers of a configuration that don't fit count as the largest that does")
-{
-    const auto parse = [](const std::string &number) {
-        const std::string text = R"({"version":7,"routes":[{"name":"r","host":"198.18.0.1","pathPrefix":"/443/","kind":"safe","priority":)" + number
-            + R"(,"timeoutMs":)" + number + R"(,"targetLatencyMs":)" + number + R"(,"split":[{"service":"booking","weight":)" + number
-            + R"(}]}],"services":[{"name":"booking","maxConnections":)" + number + R"(}],"limits":{"idleTimeoutMs":)" + number + "}}";
-        return parseConfiguration({ "config/main", 3, text, false });
-    };
-    constexpr uint32_t largest = std::numeric_limits<uint32_t>::max();
-    for (const std::string number : { "4294967295", "4294967296", "9223372036854775808", "18446744073709551615" }) {
-        CAPTURE(number);
-        const ParsedConfiguration parsed = parse(number);
-        REQUIRE(parsed.configuration.has_value());
-        const Route &route = parsed.configuration->routes.at(0);
-        CHECK(route.priority == largest);
-        CHECK(route.timeout == milliseconds(largest));
-        CHECK(route.latencyTarget == milliseconds(largest));
-        CHECK(route.shares.at(0).weight == largest);
-        CHECK(parsed.configuration->connectionLimits.at("booking") == largest);
-        CHECK(parsed.configuration->idleTimeout == milliseconds(largest));
-    }
-}
-
-// Guards against a configuration that never comes into force, with all its other edits, because one of its numbers isn't an integer.
-TEST_CASE("numbers of a configuration that aren't whole are used")
-{
-    const auto parse = [](const std::string &time, const std::string &firstWeight, const std::string &secondWeight) {
-        const std::string text = R"({"version":7,"routes":[{"name":"r","host":"198.18.0.1","pathPrefix":"/443/","kind":"safe","timeoutMs":)" + time
-            + R"(,"targetLatencyMs":)" + time + R"(,"split":[{"service":"booking","weight":)" + firstWeight + R"(},{"service":"catalogue","weight":)"
-            + secondWeight + R"(}]}],"services":[{"name":"booking","maxConnections":)" + time + R"(}],"limits":{"idleTimeoutMs":)" + time + "}}";
-        return parseConfiguration({ "config/main", 3, text, false });
-    };
-    SECTION("times and limits are rounded")
-    {
-        const ParsedConfiguration parsed = parse("1500.5", "90", "10");
-        REQUIRE(parsed.configuration.has_value());
-        const Route &route = parsed.configuration->routes.at(0);
-        CHECK(route.timeout == milliseconds(1501));
-        CHECK(route.latencyTarget == milliseconds(1501));
-        CHECK(parsed.configuration->connectionLimits.at("booking") == 1501);
-        CHECK(parsed.configuration->idleTimeout == milliseconds(1501));
-        CHECK(route.shares == std::vector<RouteShare>{ { "booking", 90 }, { "catalogue", 10 } });
-    }
-    SECTION("large ones count as the largest that fits")
-    {
-        REQUIRE(parse("1e30", "1", "1").configuration.has_value());
-        CHECK(parse("1e30", "1", "1").configuration->routes.at(0).timeout == milliseconds(std::numeric_limits<uint32_t>::max()));
-    }
-    SECTION("weights keep their proportion")
-    {
-        const ParsedConfiguration parsed = parse("1000", "0.9", "0.1");
-        REQUIRE(parsed.configuration.has_value());
-        const std::vector<RouteShare> &shares = parsed.configuration->routes.at(0).shares;
-        CHECK(shares.at(0).weight == 9 * shares.at(1).weight);
-        CHECK(shares.at(1).weight > 0);
-        CHECK(parse("1000", "99.5", "0").configuration->routes.at(0).shares.at(1).weight == 0);
-        const std::vector<RouteShare> tiny = parse("1000", "1e-9", "0.5").configuration->routes.at(0).shares;
-        CHECK(tiny.at(0).weight == 1); // not 0: the route has the service
-    }
-    SECTION("negative ones are rejected")
-    {
-        CHECK_FALSE(parse("-0.5", "1", "1").configuration.has_value());
-        CHECK_FALSE(parse("1000", "-0.5", "1").configuration.has_value());
-    }
-}
-
-TEST_CASE("JSON text is split into the parts that a parser finds, and arbitrary text is split or rejected")
-{
-    SECTION("objects and arrays")
-    {
-        const JsonSlices fields(" { \"a\" : 1 , \"b\":{\"a\":[2,{}]}, \"c\" : \"x\\\"}\" ,\"a\":null } ");
-        CHECK(fields.at("a") == "null"); // the last of several, as in the parser
-        CHECK(fields.at("b") == R"({"a":[2,{}]})");
-        CHECK(fields.at("c") == R"("x\"}")");
-        CHECK(fields.at("d").empty());
-        CHECK(splitJsonArray(" [ ] ")->empty());
-        CHECK(*splitJsonArray("[1, [2,3] ,\"]\"]") == std::vector<std::string_view>{ "1", "[2,3]", "\"]\"" });
-    }
-    SECTION("incomplete documents")
-    {
-        for (const std::string_view text : { "", "[", "[1", "[1,", "[1,]", "[,1]", "[1 2]", "[1]]", "{", "[[1]", "[\"a]", "[\"a\\", "1" }) {
-            CAPTURE(text);
-            CHECK_FALSE(splitJsonArray(text).has_value());
-        }
-        for (const std::string_view text :
-             { "", "{", "{\"a\"}", "{\"a\":}", "{\"a\":1", "{\"a\":1,", "{a:1}", "{\"a\":1}{", "[]", "{\"a\" 1}", "{\"a\":1 \"a\":2}" }) {
-            CAPTURE(text);
-            CHECK(JsonSlices(text).at("a").empty());
-        }
-    }
-    SECTION("nested documents")
-    {
-        CHECK(parseJson(nested(maxJsonDepth, "[", "]")).is_array());
-        CHECK(parseJson(nested(maxJsonDepth + 1, "[", "]")).is_discarded());
-        CHECK(parseJson(nested(maxJsonDepth + 1, "{\"a\":", "}")).is_discarded());
-        CHECK(parseJson("\"" + nested(maxJsonDepth + 1, "[", "]") + "\"").is_string());
-    }
-    SECTION("any document")
-    {
-        CHECK(rc::check("split and parsed documents agree", [](const std::vector<std::string> &texts, const std::vector<int> &numbers, uint16_t at, char byte) {
-            json document{ { "texts", json::array() }, { "numbers", numbers }, { "nested", { { "list", numbers }, { "none", nullptr } } } };
-            for (const std::string &text : texts) {
-                document["texts"].push_back(json::parse(json(text).dump(-1, ' ', false, json::error_handler_t::replace)));
-            }
-            std::string text = document.dump();
-            const JsonSlices fields(text);
-            for (const auto &[key, value] : document.items()) {
-                RC_ASSERT(parseJson(fields.at(key)) == value);
-            }
-            const auto elements = splitJsonArray(fields.at("texts"));
-            RC_ASSERT(elements.has_value());
-            RC_ASSERT(elements->size() == texts.size());
-            text[at % text.size()] = byte;
-            const JsonSlices mutated(text);
-            json parsed = json::parse(text, nullptr, false);
-            for (const std::string key : { "texts", "numbers", "nested" }) {
-                if (parsed.is_object() && parsed.contains(key)) {
-                    RC_ASSERT(parseJson(mutated.at(key)) == parsed[key]);
-                }
-            }
-        }));
-    }
-}
