Flows: a draining target that refuses connections is checked at the interval of checks

Checks of such a target came after ending_patience_ms, the grace time of full targets. The setting may be 0, and then each tick opened a connection (148 in 3 s). Change: the interval between checks of a target, 300 ms by default as before. Evidence: 'graceful shutdown: a draining target that refuses connections is checked at the interval of checks', written first: 148 checks, now at most 11.

--- a/src/flows/flowsettings.h
+++ b/src/flows/flowsettings.h
@@ -27,7 +27,7 @@
     Duration longCheckTimeout = seconds(1);           // of the deciding check when no other target accepts connections promptly; 1 MB at 10 Mbit/s
     Duration checkInterval = milliseconds(300);       // minimum time between checks triggered by flows; a failed check is valid for this long
     uint32_t checkFailureThreshold = 2;               // consecutive timed-out checks that mark a target silent while other targets accept connections
-    Duration refusalGrace = milliseconds(300);        // time for a full target that refuses connections to answer a flow; interval of checks of a draining one
+    Duration refusalGrace = milliseconds(300);        // time for a full target that refuses connections to answer a flow
     Duration recentAnswerAge = milliseconds(20);      // a target that answered a flow this shortly before it refused a connection is checked again
     uint32_t fullTargetMargin = 4;                    // flows of a target may be spread this unevenly over the instances; to estimate whether it may be full
     uint32_t maxRelatedChecks = 16;                   // other targets to check when a target falls silent; host and link faults often affect several targets
--- a/src/flows/passivehealth.cpp
+++ b/src/flows/passivehealth.cpp
@@ -107,7 +107,7 @@
         target.nextCheck = now + this->settings.refusalGrace;
     }
     if (target.phase == TargetPhase::Draining) {
-        target.nextCheck = now + this->settings.refusalGrace;
+        target.nextCheck = now + this->settings.checkInterval;
         return true;
     }
     return now - target.refusedAt < this->settings.refusalGrace;
--- a/tests/flowload_test.cpp
+++ b/tests/flowload_test.cpp
@@ -422,6 +422,29 @@
     CHECK(fixture.actions.resets.size() == 1);
 }
 
+// Guards against a connection check at each tick when the grace time of full targets is set to 0.
+TEST_CASE("graceful shutdown: a draining target that refuses connections is checked at the interval of checks")
+{
+    FlowSettings settings;
+    settings.refusalGrace = Duration{ 0 };
+    ForwarderFixture fixture(settings);
+    fixture.load({ makeTarget("b1"), makeTarget("b2") });
+    const PacketDecision opened = fixture.establish(1);
+    TargetRecord draining = opened.target->record;
+    draining.isDraining = true;
+    fixture.list({ draining, makeTarget(draining.name == "b1" ? "b2" : "b1") });
+    fixture.send(1, opened.token, 1001, 5000, 100);
+    size_t checks = 0;
+    constexpr Duration tick = milliseconds(20);
+    for (Duration passed{ 0 }; passed < seconds(3); passed += tick) {
+        fixture.run(tick);
+        checks += fixture.endChecks(CheckOutcome::Refused);
+    }
+    CHECK(fixture.actions.resets.empty());
+    CHECK(checks >= 2);
+    CHECK(checks <= 1 + static_cast<size_t>(seconds(3) / settings.checkInterval));
+}
+
 TEST_CASE("graceful shutdown: a draining target that refuses connections may still be sending its last answers")
 {
     ForwarderFixture fixture;
