Flow store: what an instance shows of its store readings is code of its own

Purpose: flowstore.cpp mixed wiring with the text of pages, logs and metrics. describeReading() and readingGauges() move to src/apps/storereadings. The names in pages and metrics are unchanged; the daemon test now checks both gauges, the test of moved routes checks the versions that the log names, and the two tests of draining targets share a fixture.

--- a/src/apps/flowstore.cpp
+++ b/src/apps/flowstore.cpp
@@ -4,6 +4,7 @@
 
 #include "apps/peerlink.h"
 #include "apps/storereadersettings.h"
+#include "apps/storereadings.h"
 #include "membership/membership.h"
 #include "platform/flowobjects.h"
 #include "platform/platformclient.h"
@@ -54,11 +55,6 @@
     return self;
 }
 
-int64_t ageMillis(TimePoint since, TimePoint now)
-{
-    return since == TimePoint{} ? -1 : std::chrono::duration_cast<milliseconds>(now - since).count();
-}
-
 } // namespace
 
 class FlowStore::Impl
@@ -124,17 +120,9 @@
         }
     }
 
-    // What decides when the store is read next. Zero times while a call is waiting or due.
     nlohmann::ordered_json watcherState(StoreResource resource) const
     {
-        const bool isTargets = resource == StoreResource::Targets;
-        const ObjectWatcher &watcher = isTargets ? this->targets : this->configurations;
-        const TimePoint now = this->clock.now();
-        const Duration untilCall = watcher.isWaiting() ? Duration{ 0 } : std::max(Duration{ 0 }, Duration(watcher.nextCallTime() - now));
-        const TimePoint confirmedAt = isTargets ? this->sharing.targetView().confirmedAt() : this->sharing.configurationView().confirmedAt();
-        return { { "reading", nameOf(resource) },         { "age_ms", ageMillis(confirmedAt, now) },
-                 { "source", this->sharing.source() },    { "failures", watcher.failureCount() },
-                 { "call_waiting", watcher.isWaiting() }, { "next_call_ms", std::chrono::duration_cast<milliseconds>(untilCall).count() } };
+        return describeReading(resource, this->sharing, resource == StoreResource::Targets ? this->targets : this->configurations, this->clock.now());
     }
 
     void readNow(StoreResource resource)
@@ -272,24 +260,12 @@
 
     //--- State
 
-    // Milliseconds until the next call and failures since the last successful one, by resource.
-    std::string watcherGauges() const
-    {
-        std::string text;
-        for (const StoreResource resource : { StoreResource::Targets, StoreResource::Configuration }) {
-            const nlohmann::ordered_json state = this->watcherState(resource);
-            const std::string label = "{reading=\"" + std::string(nameOf(resource)) + "\"} ";
-            text += "hornbeam_store_next_call_milliseconds" + label + state["next_call_ms"].dump() + "\n";
-            text += "hornbeam_store_call_failures" + label + state["failures"].dump() + "\n";
-        }
-        return text;
-    }
-
     std::string metricsText() const
     {
-        return this->counters.text() + this->watcherGauges() + "hornbeam_members_live " + std::to_string(this->liveMembers) + "\nhornbeam_store_reader "
-            + (this->sharing.isReader(StoreResource::Targets) ? "1" : "0") + "\nhornbeam_rotation_aside " + (this->rotation.isOutOfRotation() ? "1" : "0")
-            + "\n";
+        return this->counters.text() + readingGauges(StoreResource::Targets, this->targets, this->clock.now())
+            + readingGauges(StoreResource::Configuration, this->configurations, this->clock.now()) + "hornbeam_members_live "
+            + std::to_string(this->liveMembers) + "\nhornbeam_store_reader " + (this->sharing.isReader(StoreResource::Targets) ? "1" : "0")
+            + "\nhornbeam_rotation_aside " + (this->rotation.isOutOfRotation() ? "1" : "0") + "\n";
     }
 
     std::string membersPage() const
--- a/tests/configurationchange_test.cpp
+++ b/tests/configurationchange_test.cpp
@@ -62,9 +62,10 @@
         WHEN("the service keeps a share of the route")
         {
             fixture.forwarder.onConfiguration(withShares(2, { { "booking", 1 }, { "catalogue", 99 } }), fixture.actions);
-            THEN("the copy goes to the same target, which may be answering")
+            THEN("the copy goes to the same target, which may be answering, and the log can name both versions")
             {
                 CHECK(fixture.open(1).target->record.name == "b1");
+                CHECK(fixture.observer.repeatedOpenings == std::vector<std::pair<uint64_t, uint64_t>>{ { 1, 2 } });
             }
         }
         WHEN("the flow has opened before the route moves")
--- a/tests/flowdaemon_test.cpp
+++ b/tests/flowdaemon_test.cpp
@@ -330,6 +330,10 @@
         CHECK(readerCalls[0]["next_call_ms"] <= 1000);
         CHECK(otherCalls[0]["call_waiting"] == false);
         CHECK(otherCalls[0]["next_call_ms"] > 60000); // not the reader
+        const auto metrics = httpGet(isFirstReader ? first.metrics : second.metrics, "/metrics", seconds(1));
+        REQUIRE(metrics.has_value());
+        CHECK(metrics->find("hornbeam_store_call_failures{reading=\"configuration\"} 0\n") != std::string::npos);
+        CHECK(metrics->find("hornbeam_store_next_call_milliseconds{reading=\"targets\"} ") != std::string::npos);
     }
     SECTION("a change reaches both instances")
     {
--- a/tests/flowfakes.h
+++ b/tests/flowfakes.h
@@ -17,13 +17,15 @@
     std::vector<ResetReason> resets;
     std::vector<DropReason> drops;
     std::vector<AdmissionVerdict> rejections;
-    std::vector<std::string> silent; // names of targets, in the order in which they were marked silent
+    std::vector<std::pair<uint64_t, uint64_t>> repeatedOpenings; // the version that chose the target, and the one in force
+    std::vector<std::string> silent;                             // names of targets, in the order in which they were marked silent
 
     void onPlaced(const FlowState & /*state*/, const Route & /*route*/, const PlacementInputs & /*inputs*/) override
     {
     }
-    void onOpeningRepeated(const FlowState & /*state*/, const Route & /*route*/, uint64_t /*version*/) override
+    void onOpeningRepeated(const FlowState &state, const Route & /*route*/, uint64_t version) override
     {
+        this->repeatedOpenings.emplace_back(state.placedByVersion, version);
     }
     void onNotAdmitted(const FlowReset & /*reset*/, const Route & /*route*/, const Target & /*target*/, const AdmissionVerdict &verdict) override
     {
--- a/tests/flowload_test.cpp
+++ b/tests/flowload_test.cpp
@@ -422,18 +422,33 @@
     CHECK(fixture.actions.resets.size() == 1);
 }
 
+namespace {
+
+/** Two targets; one of them has an open flow and drains. */
+struct DrainingFixture : ForwarderFixture
+{
+    explicit DrainingFixture(const FlowSettings &settings = {}) : ForwarderFixture(settings)
+    {
+        this->load({ makeTarget("b1"), makeTarget("b2") });
+        this->opened = this->establish(1);
+        this->other = this->opened.target->record.name == "b1" ? "b2" : "b1";
+        TargetRecord draining = this->opened.target->record;
+        draining.isDraining = true;
+        this->list({ draining, makeTarget(this->other) });
+    }
+    PacketDecision opened; // of the flow
+    std::string other;     // name of the target that doesn't drain
+};
+
+}
+
 // Guards against a connection check at each tick when the grace time of full targets is set to 0.
 TEST_CASE("graceful shutdown: a draining target that refuses connections is checked at the interval of checks")
 {
     FlowSettings settings;
     settings.refusalGrace = Duration{ 0 };
-    ForwarderFixture fixture(settings);
-    fixture.load({ makeTarget("b1"), makeTarget("b2") });
-    const PacketDecision opened = fixture.establish(1);
-    TargetRecord draining = opened.target->record;
-    draining.isDraining = true;
-    fixture.list({ draining, makeTarget(draining.name == "b1" ? "b2" : "b1") });
-    fixture.send(1, opened.token, 1001, 5000, 100);
+    DrainingFixture fixture(settings);
+    fixture.send(1, fixture.opened.token, 1001, 5000, 100);
     size_t checks = 0;
     constexpr Duration tick = milliseconds(20);
     for (Duration passed{ 0 }; passed < seconds(3); passed += tick) {
@@ -447,13 +462,9 @@
 
 TEST_CASE("graceful shutdown: a draining target that refuses connections may still be sending its last answers")
 {
-    ForwarderFixture fixture;
-    fixture.load({ makeTarget("b1"), makeTarget("b2") });
-    const PacketDecision opened = fixture.establish(1);
-    const std::string other = opened.target->record.name == "b1" ? "b2" : "b1";
-    TargetRecord draining = opened.target->record;
-    draining.isDraining = true;
-    fixture.list({ draining, makeTarget(other) });
+    DrainingFixture fixture;
+    const PacketDecision &opened = fixture.opened;
+    const std::string &other = fixture.other;
     fixture.exchange(1, opened.token, 1, milliseconds(20));
     fixture.send(1, opened.token, 2001, 6000, 100);
     fixture.run(milliseconds(100));
