Flows: placement is a module of its own; uploads and unknown kinds are served as non-idempotent

Cause: a route whose kind is unknown made the whole configuration unusable, so that a deployment with uploads was not served at all. Change: uploads and unknown kinds are treated as non-idempotent, an unknown one is logged once (request_kind_unknown). The choice of a new flow's target moves from FlowForwarder to FlowPlacement, with rules that exclude targets; nothing uses a rule yet.

--- a/src/apps/flowstore.cpp
+++ b/src/apps/flowstore.cpp
@@ -14,6 +14,7 @@
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
+#include <set>
 
 namespace hornbeam {
 
@@ -21,7 +22,8 @@
 
 constexpr Duration readNowInterval = seconds(1); // minimum interval between reads that are triggered by packets or members
 constexpr Duration memberUpdateInterval = milliseconds(50);
-constexpr size_t peerWorkers = 1; // a single event loop owns all state
+constexpr size_t maxLoggedKinds = 16; // unknown kinds of requests that are remembered, so that each is logged once
+constexpr size_t peerWorkers = 1;     // a single event loop owns all state
 
 PlatformClientSettings makePlatformSettings(const DaemonSettings &settings)
 {
@@ -158,6 +160,11 @@
                 continue;
             }
             const ParsedConfiguration configuration = parseConfiguration(object);
+            for (const std::string &kind : configuration.unknownKinds) {
+                if (this->unknownKinds.size() < maxLoggedKinds && this->unknownKinds.insert(kind).second) {
+                    this->logEvent("request_kind_unknown", { { "kind", kind }, { "treated_as", nameOf(RequestKind::NonIdempotent) } });
+                }
+            }
             if (configuration.configuration.has_value()) {
                 this->sharing.onStoreConfiguration(*configuration.configuration, object.version, read.requestedAt, out);
             } else {
@@ -308,7 +315,8 @@
     std::array<TimePoint, static_cast<size_t>(StoreResource::Count)> lastReadNow{};
     std::array<bool, static_cast<size_t>(StoreResource::Count)> wasReaderOf{}; // as of the last tick
     std::array<bool, static_cast<size_t>(StoreResource::Count)> wasOutdated{ true, true };
-    size_t liveMembers = 1; // of all zones, including this instance
+    std::set<std::string> unknownKinds; // logged
+    size_t liveMembers = 1;             // of all zones, including this instance
     TimePoint nextMemberUpdate;
 };
 
--- a/src/flows/flowcounters.h
+++ b/src/flows/flowcounters.h
@@ -31,6 +31,7 @@
     TargetSilent,   // the flow's target does not answer and connection checks of it fail
     TargetUnknown,  // the token matches no target, even after the target list was reloaded
     Overloaded,     // the service's targets are congested; the flow was not opened
+    Restricted,     // all usable targets are excluded from new flows, by an evacuation or while they warm up
     Count,
 };
 
--- a/src/flows/flowforwarder.cpp
+++ b/src/flows/flowforwarder.cpp
@@ -18,8 +18,7 @@
     , directory(this->settings)
     , tracker(this->settings, this->counters.events[static_cast<size_t>(FlowCounter::FlowsForgotten)])
     , health(this->settings, this->counters)
-    , chooser(this->settings, ownZone, seed)
-    , admission(this->settings)
+    , placement(this->settings, this->directory, ownZone, seed)
 {
 }
 
@@ -64,41 +63,42 @@
     const bool isMoveLimitReached = known != nullptr && known->openings > this->settings.maxOpeningMoves;
     // The configuration may have changed since the previous opening packet.
     const bool isPermitted = previousTarget != nullptr && (known->isOpen || RouteTable::hasShare(route, previousTarget->record.service));
-    if (isPermitted && (isAnswering || isMoveLimitReached) && previousTarget->phase == TargetPhase::Ready && !previousTarget->isSilent()) {
+    if (isPermitted && (isAnswering || isMoveLimitReached) && this->mayRepeatOpening(*previousTarget, now)) {
         ++known->openings;
         known->lastSeen = now;
+        this->placement.recordOpening(*previousTarget, now);
         this->observer.onOpeningRepeated(*known, route, this->routes.version());
         return this->forwardTo(previousTarget, previousTarget->token); // if the target is answering, a packet was lost
     }
     if (previousTarget != nullptr && this->health.needsCheck(*previousTarget, known->firstSeen, now)) {
         this->beginCheck(previousTarget, out);
     }
-    const std::string *service = RouteTable::serviceOf(route, packet.flow);
-    const std::vector<TargetPtr> &candidates = this->directory.targetsOf(service == nullptr ? std::string() : *service);
-    TargetPtr target = this->chooser.choose(candidates, previousTarget);
-    if (target == nullptr && previousTarget != nullptr) {
-        target = this->chooser.choose(candidates, nullptr);
-    }
-    if (target == nullptr) {
-        return this->rejectWithReset(packet, ResetReason::NoTarget, nullptr);
-    }
-    if (previousTarget == nullptr && packet.acknowledged == 0) { // a repeated opening packet has waited for long enough
-        const AdmissionVerdict verdict = this->admission.admit(route, *service, *target, now);
-        if (!verdict.isAdmitted) {
-            return this->rejectOverloaded(packet, route, *target, verdict);
-        }
+    const Placement result = this->placement.place(route, { packet.flow, previousTarget, packet.acknowledged != 0 }, now);
+    switch (result.outcome) {
+    case PlacementOutcome::Placed:
+        break;
+    case PlacementOutcome::Overloaded:
+        return this->rejectOverloaded(packet, route, *result.target, result.verdict);
+    default:
+        return this->rejectWithReset(packet, result.outcome == PlacementOutcome::Restricted ? ResetReason::Restricted : ResetReason::NoTarget, nullptr);
     }
     FlowState &state = this->tracker.add(packet.flow, now);
     state.openingSequence = packet.sequence;
     state.kind = route.kind;
     state.placedByVersion = this->routes.version();
     ++state.openings;
-    this->tracker.assign(state, target);
+    this->tracker.assign(state, result.target);
     this->tracker.addOpening(state, now);
     this->counters.add(previousTarget == nullptr ? FlowCounter::FlowsPlaced : FlowCounter::FlowsMoved);
-    this->counters.add(FlowCounter::PlacedOtherZone, target->record.zone == this->ownZone ? 0 : 1);
-    this->observer.onPlaced(state, route, { this->routes.version(), this->configurationConfirmed, candidates.size() });
-    return this->forwardTo(target, target->token);
+    this->counters.add(FlowCounter::PlacedOtherZone, result.target->record.zone == this->ownZone ? 0 : 1);
+    this->observer.onPlaced(state, route, { this->routes.version(), this->configurationConfirmed, result.candidates });
+    return this->forwardTo(result.target, result.target->token);
+}
+
+// Whether a target that was sent an opening packet may be sent its copies, too.
+bool FlowForwarder::mayRepeatOpening(const Target &target, TimePoint now) const
+{
+    return target.phase == TargetPhase::Ready && !target.isSilent() && this->placement.statusOf(target, now) == CandidateStatus::Eligible;
 }
 
 //--- Established flows
@@ -130,7 +130,7 @@
     }
     if (route != nullptr && observation.answerTime > Duration{ 0 }) {
         this->answers.add(packet.flow.service, *target, observation.answerTime);
-        this->admission.addAnswer(*route, *target, { observation.answerTime, observation.answerBytes }, now);
+        this->placement.admissionControl().addAnswer(*route, *target, { observation.answerTime, observation.answerBytes }, now);
     }
     if (packet.isReset || packet.isClosing) {
         return this->forwardTo(target, packet.token);
@@ -204,7 +204,7 @@
 {
     const RouteTable::Update update = this->routes.update(configuration);
     if (update == RouteTable::Update::Applied) {
-        this->admission.retainRoutes(this->routes);
+        this->placement.admissionControl().retainRoutes(this->routes);
     }
     return update;
 }
--- a/src/flows/flowforwarder.h
+++ b/src/flows/flowforwarder.h
@@ -5,15 +5,14 @@
 // Sections: results | forwarder
 
 #include "core/clock.h"
-#include "flows/admission.h"
 #include "flows/answertimes.h"
 #include "flows/flowcounters.h"
 #include "flows/flowpacket.h"
 #include "flows/flowsettings.h"
 #include "flows/flowtracker.h"
 #include "flows/passivehealth.h"
+#include "flows/placement.h"
 #include "flows/routetable.h"
-#include "flows/targetchooser.h"
 #include "flows/targetdirectory.h"
 
 namespace hornbeam {
@@ -115,6 +114,7 @@
 private:
     PacketDecision handleOpening(const FlowPacket &packet, FlowActions &out);
     PacketDecision placeFlow(const FlowPacket &packet, const Route &route, FlowActions &out);
+    bool mayRepeatOpening(const Target &target, TimePoint now) const;
     PacketDecision forwardEstablished(const FlowPacket &packet, FlowActions &out);
     PacketDecision handleUnknownToken(const FlowPacket &packet, FlowState &state, FlowActions &out);
     PacketDecision forwardTo(const TargetPtr &target, RoutingToken token);
@@ -139,9 +139,8 @@
     TargetDirectory directory;
     FlowTracker tracker;
     PassiveHealth health;
-    TargetChooser chooser;
+    FlowPlacement placement;
     AnswerTimes answers;
-    AdmissionControl admission;
     std::vector<TargetPtr> rechecks; // silent targets, and draining targets that refused a connection
     size_t instanceCount = 1;
     TimePoint configurationConfirmed;
--- /dev/null
+++ b/src/flows/placement.cpp
@@ -0,0 +1,67 @@
+#include "flows/placement.h"
+
+#include <array>
+
+namespace hornbeam {
+
+std::string_view nameOf(PlacementOutcome outcome)
+{
+    constexpr std::array<std::string_view, static_cast<size_t>(PlacementOutcome::Count)> names{ "placed", "no_target", "restricted", "overloaded" };
+    return names[static_cast<size_t>(outcome)];
+}
+
+FlowPlacement::FlowPlacement(const FlowSettings &settings, const TargetDirectory &directory, ZoneId ownZone, uint64_t seed)
+    : directory(directory), chooser(settings, ownZone, seed), admission(settings)
+{
+}
+
+void FlowPlacement::addRule(PlacementRule &rule)
+{
+    this->rules.push_back(&rule);
+}
+
+Placement FlowPlacement::place(const Route &route, const PlacementRequest &request, TimePoint now)
+{
+    Placement placement;
+    const std::string *service = RouteTable::serviceOf(route, request.flow);
+    placement.service = service == nullptr ? std::string() : *service;
+    const std::vector<TargetPtr> &candidates = this->directory.targetsOf(placement.service);
+    placement.candidates = candidates.size();
+    const CandidateFilter filter{ this->rules, now };
+    placement.target = this->chooser.choose(candidates, request.previousTarget, filter);
+    if (placement.target == nullptr && request.previousTarget != nullptr) {
+        placement.target = this->chooser.choose(candidates, nullptr, filter);
+    }
+    if (placement.target == nullptr) {
+        placement.restriction = filter.restriction();
+        placement.outcome = placement.restriction == CandidateStatus::Eligible ? PlacementOutcome::NoTarget : PlacementOutcome::Restricted;
+        return placement;
+    }
+    if (request.previousTarget == nullptr && !request.isRepeated) { // a repeated opening packet has waited for long enough
+        placement.verdict = this->admission.admit(route, placement.service, *placement.target, now);
+    }
+    placement.outcome = placement.verdict.isAdmitted ? PlacementOutcome::Placed : PlacementOutcome::Overloaded;
+    if (placement.outcome == PlacementOutcome::Placed) {
+        this->recordOpening(*placement.target, now);
+    }
+    return placement;
+}
+
+void FlowPlacement::recordOpening(const Target &target, TimePoint now)
+{
+    for (PlacementRule *rule : this->rules) {
+        rule->onPlaced(target, now);
+    }
+}
+
+CandidateStatus FlowPlacement::statusOf(const Target &target, TimePoint now) const
+{
+    return CandidateFilter{ this->rules, now }.statusOf(target);
+}
+
+AdmissionControl &FlowPlacement::admissionControl()
+{
+    return this->admission;
+}
+
+} // namespace hornbeam
--- /dev/null
+++ b/src/flows/placement.h
@@ -0,0 +1,71 @@
+#pragma once
+
+// Selects the target of a new flow: the route's service, the targets that may be given a flow, the least loaded one among them, and admission control.
+
+#include "core/clock.h"
+#include "flows/admission.h"
+#include "flows/flowsettings.h"
+#include "flows/routetable.h"
+#include "flows/targetchooser.h"
+#include "flows/targetdirectory.h"
+
+#include <string>
+#include <vector>
+
+namespace hornbeam {
+
+enum class PlacementOutcome : uint8_t {
+    Placed,
+    NoTarget,   // no target of the service accepts new flows
+    Restricted, // rules exclude all targets that would accept new flows
+    Overloaded, // the best target is congested
+    Count,
+};
+
+std::string_view nameOf(PlacementOutcome outcome);
+
+/** An opening packet for which a target is needed. */
+struct PlacementRequest
+{
+    FlowKey flow;
+    TargetPtr previousTarget; // of an earlier copy of the opening packet; may be null
+    bool isRepeated = false;  // the caller has sent the opening packet before, possibly through another instance
+};
+
+/** Result of a placement, with the values that led to it. */
+struct Placement
+{
+    PlacementOutcome outcome = PlacementOutcome::NoTarget;
+    TargetPtr target;      // also set for Overloaded
+    std::string service;   // empty if no share of the route has a weight
+    size_t candidates = 0; // listed and missing targets of the service
+    AdmissionVerdict verdict;
+    CandidateStatus restriction = CandidateStatus::Eligible; // for Restricted: of one of the excluded targets
+};
+
+/** Not thread safe: owned by one event loop. */
+class FlowPlacement
+{
+public:
+    /** Precondition: the settings and the directory outlive the placement. */
+    FlowPlacement(const FlowSettings &settings, const TargetDirectory &directory, ZoneId ownZone, uint64_t seed);
+
+    /** Adds a restriction on the targets of new flows. Precondition: `rule` outlives the placement. */
+    void addRule(PlacementRule &rule);
+    /** Chooses the target of a new flow. A target that is placed is reported to the rules. */
+    Placement place(const Route &route, const PlacementRequest &request, TimePoint now);
+    /** Reports a repeated opening packet to the rules that is sent to the same target as before. */
+    void recordOpening(const Target &target, TimePoint now);
+    /** Why the rules exclude a target from new flows; Eligible if they don't. */
+    CandidateStatus statusOf(const Target &target, TimePoint now) const;
+
+    AdmissionControl &admissionControl();
+
+private:
+    const TargetDirectory &directory;
+    TargetChooser chooser;
+    AdmissionControl admission;
+    std::vector<PlacementRule *> rules;
+};
+
+} // namespace hornbeam
--- a/src/flows/targetchooser.cpp
+++ b/src/flows/targetchooser.cpp
@@ -9,15 +9,15 @@
 {
 }
 
-TargetPtr TargetChooser::choose(const std::vector<TargetPtr> &targets, const TargetPtr &excluded)
+TargetPtr TargetChooser::choose(const std::vector<TargetPtr> &targets, const TargetPtr &excluded, const CandidateFilter &filter)
 {
     for (const TargetPhase phase : { TargetPhase::Ready, TargetPhase::Missing }) {
-        TargetPtr best = this->leastLoaded(targets, excluded, phase, false);
+        TargetPtr best = this->leastLoaded(targets, excluded, filter, phase, false);
         if (best != nullptr) {
             return best;
         }
     }
-    return this->leastLoaded(targets, excluded, TargetPhase::Ready, true);
+    return this->leastLoaded(targets, excluded, filter, TargetPhase::Ready, true);
 }
 
 double TargetChooser::loadOf(const Target &target) const
@@ -29,7 +29,8 @@
     return load * slowness * distance / target.record.slots;
 }
 
-TargetPtr TargetChooser::leastLoaded(const std::vector<TargetPtr> &targets, const TargetPtr &excluded, TargetPhase phase, bool isIdentityUnverified)
+TargetPtr TargetChooser::leastLoaded(const std::vector<TargetPtr> &targets, const TargetPtr &excluded, const CandidateFilter &filter, TargetPhase phase,
+                                     bool isIdentityUnverified)
 {
     TargetPtr best;
     double bestLoad = 0;
@@ -42,6 +43,9 @@
             continue;
         }
         const double load = this->loadOf(*target);
+        if ((best != nullptr && load > bestLoad) || !filter.isEligible(*target)) {
+            continue;
+        }
         if (best == nullptr || load < bestLoad) {
             best = target;
             bestLoad = load;
--- a/src/flows/targetchooser.h
+++ b/src/flows/targetchooser.h
@@ -3,6 +3,7 @@
 // Selects the target for a new flow.
 
 #include "flows/flowsettings.h"
+#include "flows/placementrule.h"
 #include "flows/targetdirectory.h"
 
 #include <random>
@@ -20,13 +21,14 @@
      * Returns the target with the fewest outstanding requests and open flows per slot, weighted by its speed. Targets in the own availability zone are
      * preferred unless they are much busier than the others. Missing targets that were not draining are used only if no ready target is available, and
      * targets that refused a connection and may have been replaced by another process only as a last resort. Returns null if no target accepts new flows.
-     * `excluded` may be null.
+     * `excluded` may be null. Targets that the filter excludes are not used at all.
      */
-    TargetPtr choose(const std::vector<TargetPtr> &targets, const TargetPtr &excluded);
+    TargetPtr choose(const std::vector<TargetPtr> &targets, const TargetPtr &excluded, const CandidateFilter &filter);
 
 private:
     double loadOf(const Target &target) const;
-    TargetPtr leastLoaded(const std::vector<TargetPtr> &targets, const TargetPtr &excluded, TargetPhase phase, bool isIdentityUnverified);
+    TargetPtr leastLoaded(const std::vector<TargetPtr> &targets, const TargetPtr &excluded, const CandidateFilter &filter, TargetPhase phase,
+                          bool isIdentityUnverified);
 
     const FlowSettings &settings;
     const ZoneId ownZone;
