Flows: targets of evacuated zones get no new flows

Cause: an operator must be able to keep new flows away from a zone (docs/design/hard-load.md, part 1). Change: EvacuationRule, a PlacementRule that FlowForwarder owns and onEvacuations() feeds. Copies of opening packets are placed anew; a late copy of an open flow's opening packet is dropped (already_open), since place() would have moved the flow, or reset it when no other target is left. When all usable targets are evacuated the caller is reset at once (evacuated); the log names the restriction (flow_restricted). Where evacuations are needed, no flow is placed before they are known, for a limited time. Gauges, /targets and the explanation of a flow show it.

--- a/bench/forwardmain.cpp
+++ b/bench/forwardmain.cpp
@@ -34,6 +34,9 @@
     void onNotAdmitted(const FlowReset & /*reset*/, const Route & /*route*/, const Target & /*target*/, const AdmissionVerdict & /*verdict*/) override
     {
     }
+    void onRestricted(const FlowReset & /*reset*/, ResetReason /*reason*/, const Route & /*route*/, const Placement & /*placement*/) override
+    {
+    }
     void onReset(const FlowReset & /*reset*/, ResetReason /*reason*/, const FlowState * /*state*/) override
     {
     }
--- a/src/apps/flowexplain.cpp
+++ b/src/apps/flowexplain.cpp
@@ -22,7 +22,7 @@
 bool acceptsNewFlows(const Json &target)
 {
     constexpr double never = -1;
-    return target.value("phase", "") == "ready" && target.value("silent_age_s", never) == never;
+    return target.value("phase", "") == "ready" && target.value("silent_age_s", never) == never && target.value("new_flows", "eligible") == "eligible";
 }
 
 void appendEntry(std::string &text, const std::string &title, const Json &entry)
--- a/src/apps/flowlog.cpp
+++ b/src/apps/flowlog.cpp
@@ -64,6 +64,19 @@
                     { "measured_age_ms", this->ageMillis(target.congestionMeasuredAt) } });
 }
 
+void FlowLog::onRestricted(const FlowReset &reset, ResetReason reason, const Route &route, const Placement &placement)
+{
+    if (this->log.admits("flow_restricted")) {
+        this->log.add("flow_restricted",
+                      { { "flow", formatFlow(reset.flow) },
+                        { "reason", nameOf(reason) },
+                        { "restriction", nameOf(placement.restriction) },
+                        { "route", route.name },
+                        { "service", placement.service },
+                        { "candidates", placement.candidates } });
+    }
+}
+
 void FlowLog::onReset(const FlowReset &reset, ResetReason reason, const FlowState *state)
 {
     if (!this->log.admits("flow_reset")) {
--- a/src/apps/flowlog.h
+++ b/src/apps/flowlog.h
@@ -17,6 +17,7 @@
     void onPlaced(const FlowState &state, const Route &route, const PlacementInputs &inputs) override;
     void onOpeningRepeated(const FlowState &state, const Route &route, uint64_t version) override;
     void onNotAdmitted(const FlowReset &reset, const Route &route, const Target &target, const AdmissionVerdict &verdict) override;
+    void onRestricted(const FlowReset &reset, ResetReason reason, const Route &route, const Placement &placement) override;
     void onReset(const FlowReset &reset, ResetReason reason, const FlowState *state) override;
     void onDropped(const FlowPacket &packet, DropReason reason) override;
     void onTargetChange(const TargetChange &change) override;
--- a/src/apps/flowpages.cpp
+++ b/src/apps/flowpages.cpp
@@ -31,9 +31,11 @@
 {
     std::array<uint64_t, static_cast<size_t>(TargetPhase::Count)> phases{};
     uint64_t silent = 0;
+    uint64_t evacuated = 0;
     for (const TargetPtr &target : forwarder.targetDirectory().all()) {
         ++phases[static_cast<size_t>(target->phase)];
         silent += target->isSilent() && target->phase != TargetPhase::Departed ? 1 : 0;
+        evacuated += forwarder.candidateStatusOf(*target) == CandidateStatus::Evacuated && target->phase != TargetPhase::Departed ? 1 : 0;
     }
     std::string text = gauge("flow_ready", isReady ? 1 : 0);
     text += gauge("flow_configuration_version", static_cast<double>(forwarder.routeTable().version()));
@@ -45,6 +47,8 @@
         text += gauge("flow_targets{phase=\"" + std::string(nameOf(static_cast<TargetPhase>(i))) + "\"}", static_cast<double>(phases.at(i)));
     }
     text += gauge("flow_targets_silent", static_cast<double>(silent));
+    text += gauge("flow_zones_evacuated", static_cast<double>(forwarder.evacuationRule().zones().size()));
+    text += gauge("flow_targets_evacuated", static_cast<double>(evacuated));
     return text;
 }
 
@@ -63,6 +67,7 @@
                          { "progress_age_s", ageSeconds(target->lastProgress, now) },
                          { "refused_age_s", ageSeconds(target->refusedAt, now) },
                          { "failed_checks", target->failedChecks },
+                         { "new_flows", nameOf(forwarder.candidateStatusOf(*target)) },
                          { "open_flows", target->openFlows },
                          { "outstanding_requests", target->outstandingRequests },
                          { "slowness", target->slowness },
--- a/src/flows/flowcounters.h
+++ b/src/flows/flowcounters.h
@@ -18,6 +18,8 @@
     RouteUnconfirmed,  // no matching route, but the configuration may be stale
     TargetUnconfirmed, // the token matches no known target, but the target list may be stale
     NoToken,           // a packet other than an opening packet carries no token
+    NoEvacuations,     // the evacuated zones have not been loaded yet
+    AlreadyOpen,       // a late copy of an open flow's opening packet, whose target may not be sent one now
     Count,
 };
 
@@ -32,6 +34,7 @@
     TargetUnknown,  // the token matches no target, even after the target list was reloaded
     Overloaded,     // the service's targets are congested; the flow was not opened
     Restricted,     // all usable targets are excluded from new flows, by an evacuation or while they warm up
+    Evacuated,      // all usable targets are in evacuated zones
     Count,
 };
 
@@ -46,6 +49,7 @@
     TargetsSilenced,  // targets marked silent
     TargetsRecovered, // silent targets back in use
     SendsRefused,     // datagrams rejected by the kernel
+    EvacuationsBegun, // evacuations of a zone that came into force here
     Count,
 };
 
--- a/src/flows/flowforwarder.cpp
+++ b/src/flows/flowforwarder.cpp
@@ -18,8 +18,10 @@
     , directory(this->settings)
     , tracker(this->settings, this->counters.events[static_cast<size_t>(FlowCounter::FlowsForgotten)])
     , health(this->settings, this->counters)
+    , evacuations(this->settings)
     , placement(this->settings, this->directory, ownZone, seed)
 {
+    this->placement.addRule(this->evacuations);
 }
 
 //--- Incoming packets
@@ -47,6 +49,9 @@
     if (!this->directory.isLoaded()) {
         return this->drop(packet, DropReason::NoTargets);
     }
+    if (!this->evacuations.mayPlace(this->clock.now())) {
+        return this->drop(packet, DropReason::NoEvacuations);
+    }
     return this->placeFlow(packet, *route, out);
 }
 
@@ -70,6 +75,11 @@
         this->observer.onOpeningRepeated(*known, route, this->routes.version());
         return this->forwardTo(previousTarget, previousTarget->token); // if the target is answering, a packet was lost
     }
+    // An open flow neither moves nor is reset because its target gets no opening packets any more.
+    if (previousTarget != nullptr && known->isOpen && previousTarget->phase != TargetPhase::Departed && !previousTarget->isSilent()
+        && this->placement.statusOf(*previousTarget, now) != CandidateStatus::Eligible) {
+        return this->drop(packet, DropReason::AlreadyOpen);
+    }
     if (previousTarget != nullptr && this->health.needsCheck(*previousTarget, known->firstSeen, now)) {
         this->beginCheck(previousTarget, out);
     }
@@ -79,8 +89,10 @@
         break;
     case PlacementOutcome::Overloaded:
         return this->rejectOverloaded(packet, route, *result.target, result.verdict);
+    case PlacementOutcome::Restricted:
+        return this->rejectRestricted(packet, route, result);
     default:
-        return this->rejectWithReset(packet, result.outcome == PlacementOutcome::Restricted ? ResetReason::Restricted : ResetReason::NoTarget, nullptr);
+        return this->rejectWithReset(packet, ResetReason::NoTarget, nullptr);
     }
     FlowState &state = this->tracker.add(packet.flow, now);
     state.openingSequence = packet.sequence;
@@ -185,6 +197,17 @@
     return decision;
 }
 
+PacketDecision FlowForwarder::rejectRestricted(const FlowPacket &packet, const Route &route, const Placement &placement)
+{
+    const ResetReason reason = placement.restriction == CandidateStatus::Evacuated ? ResetReason::Evacuated : ResetReason::Restricted;
+    this->counters.add(reason);
+    PacketDecision decision;
+    decision.kind = PacketDecision::Kind::Reset;
+    decision.reset = { packet.flow, packet.sequence };
+    this->observer.onRestricted(decision.reset, reason, route, placement);
+    return decision;
+}
+
 PacketDecision FlowForwarder::rejectWithReset(const FlowPacket &packet, ResetReason reason, FlowState *state)
 {
     this->counters.add(reason);
@@ -206,6 +229,7 @@
     if (update == RouteTable::Update::Applied) {
         this->placement.admissionControl().retainRoutes(this->routes);
     }
+    this->beginEvacuationWait();
     return update;
 }
 
@@ -217,6 +241,19 @@
 void FlowForwarder::onTargets(const std::vector<TargetRecord> &records, TimePoint requestedAt, FlowActions &out)
 {
     this->handleTargetChanges(this->directory.updateAll(records, requestedAt, this->clock.now()), out);
+    this->beginEvacuationWait();
+}
+
+void FlowForwarder::onEvacuations(const std::set<ZoneId> &zones)
+{
+    this->evacuations.update(zones);
+}
+
+void FlowForwarder::beginEvacuationWait()
+{
+    if (this->routes.isLoaded() && this->directory.isLoaded()) {
+        this->evacuations.beginWait(this->clock.now());
+    }
 }
 
 void FlowForwarder::onTargetChanges(const std::vector<TargetRecord> &updated, const std::vector<std::string> &removed, TimePoint requestedAt, FlowActions &out)
@@ -384,7 +421,17 @@
 
 bool FlowForwarder::isReady() const
 {
-    return this->routes.isLoaded() && this->directory.isLoaded();
+    return this->routes.isLoaded() && this->directory.isLoaded() && this->evacuations.mayPlace(this->clock.now());
+}
+
+const EvacuationRule &FlowForwarder::evacuationRule() const
+{
+    return this->evacuations;
+}
+
+CandidateStatus FlowForwarder::candidateStatusOf(const Target &target) const
+{
+    return this->placement.statusOf(target, this->clock.now());
 }
 
 const RouteTable &FlowForwarder::routeTable() const
--- a/src/flows/flowforwarder.h
+++ b/src/flows/flowforwarder.h
@@ -6,6 +6,7 @@
 
 #include "core/clock.h"
 #include "flows/answertimes.h"
+#include "flows/evacuationrule.h"
 #include "flows/flowcounters.h"
 #include "flows/flowpacket.h"
 #include "flows/flowsettings.h"
@@ -65,6 +66,8 @@
     /** A repeated opening packet was sent to the target that an earlier one was sent to. `version` is that of the active configuration. */
     virtual void onOpeningRepeated(const FlowState &state, const Route &route, uint64_t version) = 0;
     virtual void onNotAdmitted(const FlowReset &reset, const Route &route, const Target &target, const AdmissionVerdict &verdict) = 0;
+    /** A new flow was rejected because rules exclude all usable targets of the service. */
+    virtual void onRestricted(const FlowReset &reset, ResetReason reason, const Route &route, const Placement &placement) = 0;
     virtual void onReset(const FlowReset &reset, ResetReason reason, const FlowState *state) = 0;
     virtual void onDropped(const FlowPacket &packet, DropReason reason) = 0;
     virtual void onTargetChange(const TargetChange &change) = 0;
@@ -90,6 +93,8 @@
     void onTargets(const std::vector<TargetRecord> &records, TimePoint requestedAt, FlowActions &out);
     /** Applies changes of individual targets, from the store's response to a request sent at `requestedAt`. */
     void onTargetChanges(const std::vector<TargetRecord> &updated, const std::vector<std::string> &removed, TimePoint requestedAt, FlowActions &out);
+    /** Replaces the set of evacuated zones, whose targets get no new flows. Open flows stay. */
+    void onEvacuations(const std::set<ZoneId> &zones);
     /** Processes the result of a connection check. */
     void endCheck(const TargetPtr &target, CheckOutcome outcome, FlowActions &out);
     /** Sets the number of live instances in all zones, including this one. */
@@ -97,8 +102,11 @@
     /** Detects unanswered packets, starts due checks and expires old flows. Call about every 20 ms. */
     void tick(FlowActions &out);
 
-    /** Whether the configuration and the target list have been loaded. */
+    /** Whether the configuration and the target list have been loaded, and the evacuated zones if they are needed and arrive in time. */
     bool isReady() const;
+    const EvacuationRule &evacuationRule() const;
+    /** Whether a target may be given a new flow now, apart from its health and phase. */
+    CandidateStatus candidateStatusOf(const Target &target) const;
     const RouteTable &routeTable() const;
     const TargetDirectory &targetDirectory() const;
     const FlowCounters &flowCounters() const;
@@ -120,12 +128,14 @@
     PacketDecision forwardTo(const TargetPtr &target, RoutingToken token);
     PacketDecision drop(const FlowPacket &packet, DropReason reason);
     PacketDecision rejectOverloaded(const FlowPacket &packet, const Route &route, const Target &target, const AdmissionVerdict &verdict);
+    PacketDecision rejectRestricted(const FlowPacket &packet, const Route &route, const Placement &placement);
     PacketDecision rejectWithReset(const FlowPacket &packet, ResetReason reason, FlowState *state);
     void resetFlows(const TargetPtr &target, ResetReason reason, FlowActions &out);
     void checkRelatedTargets(const Target &failed, FlowActions &out);
     void checkReferenceTarget(const TargetPtr &suspect, FlowActions &out);
     void scheduleRecheck(const TargetPtr &target);
     void beginCheck(const TargetPtr &target, FlowActions &out);
+    void beginEvacuationWait();
     void handleTargetChanges(const std::vector<TargetChange> &changes, FlowActions &out);
     bool isConfigurationFresh() const;
     bool mayBeFull(const Target &target) const;
@@ -139,6 +149,7 @@
     TargetDirectory directory;
     FlowTracker tracker;
     PassiveHealth health;
+    EvacuationRule evacuations;
     FlowPlacement placement;
     AnswerTimes answers;
     std::vector<TargetPtr> rechecks; // silent targets, and draining targets that refused a connection
--- a/src/flows/flowsettings.h
+++ b/src/flows/flowsettings.h
@@ -17,6 +17,9 @@
     Duration tokenLifetime = seconds(65);           // of an unlisted or departed target; flows live at most 60 s
     Duration freshnessLifetime = seconds(5);        // callers without a route are only rejected if the configuration was confirmed within this time
 
+    bool needsEvacuations = false;            // no new flow is placed before the evacuated zones are known
+    Duration evacuationsTimeout = seconds(1); // how long new flows wait for that, from when configuration and targets are known
+
     // detection of unanswered packets
     Duration openingTimeout = milliseconds(60);   // from an opening packet to the caller's next packet; 5 round trips of 12 ms
     Duration minAnswerTimeout = milliseconds(60); // lower bound of the time allowed for the answer to a request
--- a/tests/flowfakes.h
+++ b/tests/flowfakes.h
@@ -17,6 +17,7 @@
     std::vector<ResetReason> resets;
     std::vector<DropReason> drops;
     std::vector<AdmissionVerdict> rejections;
+    std::vector<CandidateStatus> restrictions;
     std::vector<std::pair<uint64_t, uint64_t>> repeatedOpenings; // the version that chose the target, and the one in force
     std::vector<std::string> silent;                             // names of targets, in the order in which they were marked silent
 
@@ -32,6 +33,11 @@
         this->resets.push_back(ResetReason::Overloaded);
         this->rejections.push_back(verdict);
     }
+    void onRestricted(const FlowReset & /*reset*/, ResetReason reason, const Route & /*route*/, const Placement &placement) override
+    {
+        this->resets.push_back(reason);
+        this->restrictions.push_back(placement.restriction);
+    }
     void onReset(const FlowReset & /*reset*/, ResetReason reason, const FlowState * /*state*/) override
     {
         this->resets.push_back(reason);
--- a/tests/flowpages_test.cpp
+++ b/tests/flowpages_test.cpp
@@ -50,6 +50,15 @@
         CHECK_THAT(explanation.text, Contains("can take a new flow of the route: 1"));
         CHECK_THAT(explanation.text, Contains("reset true"));
     }
+    SECTION("evacuated targets are counted, marked on the page, and not available for new flows")
+    {
+        fixture.forwarder.onEvacuations({ localZone, zoneIdOf("nowhere") });
+        const std::string text = flowGauges(fixture.forwarder, true, fixture.clock.now());
+        CHECK_THAT(text, Contains("hornbeam_flow_zones_evacuated 2.0"));
+        CHECK_THAT(text, Contains("hornbeam_flow_targets_evacuated 2.0"));
+        CHECK(nlohmann::json::parse(targetsPage(fixture.forwarder, fixture.clock.now()))[0]["new_flows"] == "evacuated");
+        CHECK_THAT(explain(flow).text, Contains("can take a new flow of the route: 0"));
+    }
     SECTION("unknown flows and addresses without a route are reported")
     {
         const FlowExplanation explanation = explain("10.0.0.1:5>198.18.9.9:1");
