--- a/src/apps/flowdaemon.cpp
+++ b/src/apps/flowdaemon.cpp
@@ -2,6 +2,7 @@
 
 #include "apps/flowdaemon.h"
 
+#include "apps/evacuatedzones.h"
 #include "apps/flowlog.h"
 #include "apps/flowpages.h"
 #include "apps/flowstore.h"
@@ -54,6 +55,7 @@
         , log(STDOUT_FILENO, this->clock)
         , flowLog(this->log, this->clock)
         , seed(std::random_device()())
+        , evacuations(this->clock, [this](const std::string &event, const nlohmann::ordered_json &fields) { this->logEvent(event, fields); })
         , forwarder(makeFlowSettings(*settings.flows), zoneIdOf(settings.zone), this->seed, this->clock, this->flowLog)
         , packets(this->context, settings.flows->packets, false)
         , readiness(this->context, settings.flows->readiness)
@@ -122,7 +124,8 @@
     {
         const Duration guaranteed = makeStoreReaderSettings(*this->settings.flows).shortestGuaranteedBound;
         const std::pair<const char *, Duration> bounds[] = { { "drain_bound_ms", this->settings.flows->drainBound },
-                                                             { "change_bound_ms", this->settings.flows->changeBound } };
+                                                             { "change_bound_ms", this->settings.flows->changeBound },
+                                                             { "evacuation_bound_ms", this->settings.flows->evacuationBound.value_or(guaranteed) } };
         for (const auto &[setting, bound] : bounds) {
             if (bound < guaranteed) {
                 this->logEvent("bound_not_guaranteed",
@@ -242,6 +245,13 @@
         this->store.setUrgent(this->forwarder.targetDirectory().hasMissing());
     }
 
+    void onEvacuationUpdate(const EvacuationUpdate &update, MemberId source) override
+    {
+        this->forwarder.flowCounters().add(FlowCounter::EvacuationsBegun, this->evacuations.apply(update, source));
+        this->forwarder.onEvacuations(this->evacuations.zones());
+        this->beginReceiveWhenReady();
+    }
+
     void onConfigurationUpdate(const RouteConfiguration &configuration, uint64_t revision, TimePoint requestedAt, MemberId source) override
     {
         const uint64_t previousVersion = this->forwarder.routeTable().version();
@@ -294,6 +304,9 @@
         this->perform(actions);
         this->store.tick();
         this->beginReceiveWhenReady();
+        if (this->settings.flows->evacuationBound.has_value() && this->forwarder.isReady() && !this->forwarder.evacuationRule().isLoaded()) {
+            this->evacuations.logUnknown();
+        }
         if (now >= this->nextSettingsPoll) {
             this->nextSettingsPoll = now + settingsPollInterval;
             this->pollSettings();
@@ -391,6 +404,7 @@
     EventLog log;
     FlowLog flowLog;
     const uint64_t seed;
+    EvacuatedZones evacuations;
     FlowForwarder forwarder;
 
     boost::asio::io_context context{ 1 };
--- a/src/apps/flowstore.cpp
+++ b/src/apps/flowstore.cpp
@@ -74,12 +74,6 @@
         , rotation(RotationSettings{}, zoneIdOf(settings.zone))
         , sharing(makeStoreReaderSettings(*settings.flows).sharing, this->membership, clock, this->counters, observer)
         , client(context, this->counters, makePlatformSettings(settings))
-        , targets(
-              this->client, clock, seed, std::string(targetPrefix), [this](const ObjectReadResult &read) { this->onTargets(read); },
-              makeStoreReaderSettings(*settings.flows).targets)
-        , configurations(
-              this->client, clock, seed + 1, std::string(configurationPrefix), [this](const ObjectReadResult &read) { this->onConfigurations(read); },
-              makeStoreReaderSettings(*settings.flows).configurations)
         , seeds(
               this->client, clock, seed + 2, settings.zone, Endpoint{ settings.address, settings.peerPort },
               [this](const Endpoint &peer) { this->addSeed(peer); }, makeSeedSettings(*settings.flows))
@@ -87,8 +81,29 @@
         for (const uint32_t host : settings.flows->seedHosts) {
             this->addSeed({ host, settings.peerPort });
         }
-        this->targets.setFailureCallback([this](const PlatformReply &reply) { this->onFailure(StoreResource::Targets, reply); });
-        this->configurations.setFailureCallback([this](const PlatformReply &reply) { this->onFailure(StoreResource::Configuration, reply); });
+        const StoreReaderSettings reading = makeStoreReaderSettings(*settings.flows);
+        this->addWatcher(StoreResource::Targets, targetPrefix, reading.targets, seed, [this](const ObjectReadResult &read) { this->onTargets(read); });
+        this->addWatcher(StoreResource::Configuration, configurationPrefix, reading.configurations, seed + 1,
+                         [this](const ObjectReadResult &read) { this->onConfigurations(read); });
+        this->addWatcher(StoreResource::Evacuations, evacuationPrefix, reading.evacuations, seed + 3,
+                         [this](const ObjectReadResult &read) { this->onEvacuations(read); });
+        this->wasOutdated.fill(true);
+    }
+
+    void addWatcher(StoreResource resource, std::string_view prefix, const WatcherSettings &settings, uint64_t seed, ObjectWatcher::ObjectsCallback onObjects)
+    {
+        if (this->sharing.isRead(resource)) {
+            this->readings.push_back(resource);
+            this->watchers[static_cast<size_t>(resource)] =
+                std::make_unique<ObjectWatcher>(this->client, this->clock, seed, std::string(prefix), std::move(onObjects), settings);
+            this->watcherOf(resource).setFailureCallback([this, resource](const PlatformReply &reply) { this->onFailure(resource, reply); });
+        }
+    }
+
+    /** Precondition: the resource is read. */
+    ObjectWatcher &watcherOf(StoreResource resource) const
+    {
+        return *this->watchers[static_cast<size_t>(resource)];
     }
 
     //--- Store
@@ -100,15 +115,15 @@
         this->sharing.tick(out);
         this->link.send(out);
         this->updateMembers();
-        this->tickWatcher(StoreResource::Targets);
-        this->tickWatcher(StoreResource::Configuration);
+        for (const StoreResource resource : this->readings) {
+            this->tickWatcher(resource);
+        }
     }
 
     void tickWatcher(StoreResource resource)
     {
-        ObjectWatcher &watcher = resource == StoreResource::Targets ? this->targets : this->configurations;
         const bool isReader = this->sharing.isReader(resource);
-        watcher.tick(isReader);
+        this->watcherOf(resource).tick(isReader);
         bool &wasReader = this->wasReaderOf[static_cast<size_t>(resource)];
         if (isReader != wasReader) {
             wasReader = isReader;
@@ -124,7 +139,7 @@
 
     nlohmann::ordered_json watcherState(StoreResource resource) const
     {
-        return describeReading(resource, this->sharing, resource == StoreResource::Targets ? this->targets : this->configurations, this->clock.now());
+        return describeReading(resource, this->sharing, this->watcherOf(resource), this->clock.now());
     }
 
     void readNow(StoreResource resource)
@@ -135,22 +150,38 @@
             return;
         }
         last = now;
-        (resource == StoreResource::Targets ? this->targets : this->configurations).pollNow();
+        this->watcherOf(resource).pollNow();
     }
 
     void onTargets(const ObjectReadResult &read)
     {
         this->recordSuccess(StoreResource::Targets, read);
-        std::vector<IgnoredTarget> ignored;
+        std::vector<IgnoredEntry> ignored;
         TargetUpdate update = makeTargetUpdate(read, ignored);
-        for (const IgnoredTarget &target : ignored) {
-            this->logEvent("target_ignored", { { "target", target.name }, { "revision", target.revision }, { "problem", target.problem } });
-        }
+        this->logIgnored("target_ignored", "target", ignored);
         Actions out;
         this->sharing.onStoreTargets(std::move(update), out);
         this->link.send(out);
     }
 
+    void onEvacuations(const ObjectReadResult &read)
+    {
+        this->recordSuccess(StoreResource::Evacuations, read);
+        std::vector<IgnoredEntry> ignored;
+        EvacuationUpdate update = makeEvacuationUpdate(read, ignored);
+        this->logIgnored("evacuation_ignored", "zone", ignored);
+        Actions out;
+        this->sharing.onStoreEvacuations(std::move(update), out);
+        this->link.send(out);
+    }
+
+    void logIgnored(const char *event, const char *kind, const std::vector<IgnoredEntry> &ignored)
+    {
+        for (const IgnoredEntry &entry : ignored) {
+            this->logEvent(event, { { kind, entry.name }, { "revision", entry.revision }, { "problem", entry.problem } });
+        }
+    }
+
     void onConfigurations(const ObjectReadResult &read)
     {
         this->recordSuccess(StoreResource::Configuration, read);
@@ -269,34 +300,26 @@
 
     std::string metricsText() const
     {
-        return this->counters.text() + readingGauges(StoreResource::Targets, this->targets, this->clock.now())
-            + readingGauges(StoreResource::Configuration, this->configurations, this->clock.now()) + "hornbeam_members_live "
-            + std::to_string(this->liveMembers) + "\nhornbeam_store_reader " + (this->sharing.isReader(StoreResource::Targets) ? "1" : "0")
-            + "\nhornbeam_rotation_aside " + (this->rotation.isOutOfRotation() ? "1" : "0") + "\n";
+        std::string text = this->counters.text();
+        for (const StoreResource resource : this->readings) {
+            text += readingGauges(resource, this->watcherOf(resource), this->clock.now());
+        }
+        if (this->sharing.isRead(StoreResource::Evacuations)) {
+            text += ageGauge("flow_evacuations", this->sharing.evacuationView().confirmedAt(), this->clock.now());
+        }
+        return text + "hornbeam_members_live " + std::to_string(this->liveMembers) + "\nhornbeam_store_reader "
+            + (this->sharing.isReader(StoreResource::Targets) ? "1" : "0") + "\nhornbeam_rotation_aside " + (this->rotation.isOutOfRotation() ? "1" : "0")
+            + "\n";
     }
 
     std::string membersPage() const
     {
-        using Json = nlohmann::ordered_json;
-        const TimePoint now = this->clock.now();
-        Json members = Json::array();
-        for (const MemberRecord &member : this->membership.members()) {
-            members.push_back({ { "peer", toString(member.peer) },
-                                { "zone", member.zone },
-                                { "state", nameOf(member.state) },
-                                { "incarnation", member.incarnation },
-                                { "source", member.id == this->sharing.source() } });
+        std::vector<MemberRecord> members = this->membership.members();
+        nlohmann::ordered_json calls = nlohmann::ordered_json::array();
+        for (const StoreResource resource : this->readings) {
+            calls.push_back(this->watcherState(resource));
         }
-        const TargetView &targetView = this->sharing.targetView();
-        const ConfigurationView &configurationView = this->sharing.configurationView();
-        const Json page{ { "self", toString(this->membership.self().peer) },
-                         { "reads_targets", this->sharing.isReader(StoreResource::Targets) },
-                         { "reads_configuration", this->sharing.isReader(StoreResource::Configuration) },
-                         { "targets", { { "revision", targetView.revision() }, { "age_ms", ageMillis(targetView.confirmedAt(), now) } } },
-                         { "configuration", { { "revision", configurationView.revision() }, { "age_ms", ageMillis(configurationView.confirmedAt(), now) } } },
-                         { "store_calls", Json::array({ this->watcherState(StoreResource::Targets), this->watcherState(StoreResource::Configuration) }) },
-                         { "members", std::move(members) } };
-        return page.dump(2) + "\n";
+        return membersPageOf(this->membership.self(), members, this->sharing, std::move(calls), this->clock.now());
     }
 
     const Clock &clock;
@@ -308,15 +331,15 @@
     RotationPolicy rotation;
     SharedStoreReader sharing;
     PlatformClient client;
-    ObjectWatcher targets;
-    ObjectWatcher configurations;
+    std::vector<StoreResource> readings; // that the deployment uses
+    std::array<std::unique_ptr<ObjectWatcher>, static_cast<size_t>(StoreResource::Count)> watchers;
     SeedList seeds;
     std::array<bool, static_cast<size_t>(StoreResource::Count)> isStoreLost{};
     std::array<TimePoint, static_cast<size_t>(StoreResource::Count)> lastReadNow{};
     std::array<bool, static_cast<size_t>(StoreResource::Count)> wasReaderOf{}; // as of the last tick
-    std::array<bool, static_cast<size_t>(StoreResource::Count)> wasOutdated{ true, true };
-    std::set<std::string> unknownKinds; // logged
-    size_t liveMembers = 1;             // of all zones, including this instance
+    std::array<bool, static_cast<size_t>(StoreResource::Count)> wasOutdated{}; // as of the last tick
+    std::set<std::string> unknownKinds;                                        // logged
+    size_t liveMembers = 1;                                                    // of all zones, including this instance
     TimePoint nextMemberUpdate;
 };
 
@@ -352,7 +375,7 @@
 
 void FlowStore::setUrgent(bool isUrgent)
 {
-    this->impl->targets.setUrgent(isUrgent);
+    this->impl->watcherOf(StoreResource::Targets).setUrgent(isUrgent);
 }
 
 void FlowStore::setEndpoint(const Endpoint &endpoint)
--- a/src/apps/settings.cpp
+++ b/src/apps/settings.cpp
@@ -182,6 +182,9 @@
     readBound("target_heartbeat_ms", 100, settings.flows->targetHeartbeat);
     readBound("drain_bound_ms", 100, settings.flows->drainBound);
     readBound("change_bound_ms", 100, settings.flows->changeBound);
+    if (part.has("evacuation_bound_ms")) {
+        readBound("evacuation_bound_ms", 100, settings.flows->evacuationBound.emplace(settings.flows->changeBound));
+    }
     readBound("stability_ms", 100, settings.flows->stability);
     readBound("initial_read_ms", 0, settings.flows->initialReadTimeout);
     readBound("stop_delay_ms", 0, settings.flows->shutdownDelay);
@@ -321,6 +324,9 @@
         object["flows"]["target_heartbeat_ms"] = millis(settings.flows->targetHeartbeat);
         object["flows"]["drain_bound_ms"] = millis(settings.flows->drainBound);
         object["flows"]["change_bound_ms"] = millis(settings.flows->changeBound);
+        if (settings.flows->evacuationBound.has_value()) {
+            object["flows"]["evacuation_bound_ms"] = millis(*settings.flows->evacuationBound);
+        }
         object["flows"]["stability_ms"] = millis(settings.flows->stability);
         object["flows"]["initial_read_ms"] = millis(settings.flows->initialReadTimeout);
         object["flows"]["stop_delay_ms"] = millis(settings.flows->shutdownDelay);
--- a/src/apps/settings.h
+++ b/src/apps/settings.h
@@ -31,6 +31,7 @@
     Duration targetHeartbeat = milliseconds(1200); // between two writes of a target's entry
     Duration drainBound = seconds(3);              // from the store's acknowledgement that a target drains to the last new flow that it may get
     Duration changeBound = seconds(3);             // from the store's acknowledgement of a configuration to its being in force
+    std::optional<Duration> evacuationBound;       // from the store's acknowledgement of a zone's evacuation to the last new flow; absent: not read
     Duration stability = seconds(4);               // after a failure, until what it left behind must be made good
     std::vector<uint32_t> seedHosts;               // IPv4 addresses of some instances, which may be down; all use the same peer_port
     bool isFirstStart = false;                     // of the whole system: nobody has written seeds to the store yet
--- a/src/apps/storereadersettings.cpp
+++ b/src/apps/storereadersettings.cpp
@@ -46,40 +46,54 @@
     StoreReaderSettings settings;
     settings.targets = makeWatcherSettings(flows, flows.drainBound, settings.sharing);
     settings.configurations = makeWatcherSettings(flows, flows.changeBound, settings.sharing);
+    const Duration evacuationBound = flows.evacuationBound.value_or(flows.changeBound);
+    settings.evacuations = makeWatcherSettings(flows, evacuationBound, settings.sharing);
     // Members learn of a reader's failure too late for shorter bounds, so each instance reads the store itself.
     const Duration shortestSharedBound = maxUpdateAge(minWatchTimeout, settings.sharing) + fallbackReadMargin;
-    settings.sharing.isShared = flows.isReadingShared && std::min(flows.drainBound, flows.changeBound) >= shortestSharedBound;
+    settings.sharing.isShared = flows.isReadingShared && std::min({ flows.drainBound, flows.changeBound, evacuationBound }) >= shortestSharedBound;
     settings.shortestGuaranteedBound = minWatchTimeout + storeCallTimeout + coalescingDelay + latencyMargin;
     settings.callTimeout = storeCallTimeout;
     settings.listTimeout = storeListTimeout;
     settings.sharing.maxTargetsAge = maxUpdateAge(settings.targets.watchTimeout, settings.sharing);
     settings.sharing.maxConfigurationAge = maxUpdateAge(settings.configurations.watchTimeout, settings.sharing);
+    settings.sharing.readsEvacuations = flows.evacuationBound.has_value();
+    settings.sharing.maxEvacuationsAge = maxUpdateAge(settings.evacuations.watchTimeout, settings.sharing);
     settings.maxConfirmationInterval = settings.sharing.maxConfigurationAge + storeCallTimeout;
     return settings;
 }
 
-TargetUpdate makeTargetUpdate(const ObjectReadResult &read, std::vector<IgnoredTarget> &ignored)
+namespace {
+/** The record in an object, or in `problem` the reason why there is none. */
+template<typename Record>
+struct ParsedRecord
+{
+    std::optional<Record> record;
+    std::string problem;
+};
+
+template<typename Record, typename Parser>
+EntryUpdate<Record> makeUpdate(const ObjectReadResult &read, std::string_view prefix, std::vector<IgnoredEntry> &ignored, const Parser &parse)
 {
-    std::map<std::string, std::optional<TargetEntry>> lastEntries;
+    std::map<std::string, std::optional<StoreEntry<Record>>> lastEntries;
     for (const PlatformObject &object : read.objects) {
-        const std::string name = object.key.substr(targetPrefix.size());
+        const std::string name = object.key.substr(prefix.size());
         if (name.size() > maxNameBytes) {
             ignored.push_back({ name.substr(0, maxNameBytes), object.version, "a name of " + std::to_string(name.size()) + " bytes" });
             continue;
         }
-        std::optional<TargetEntry> &entry = lastEntries[name];
+        std::optional<StoreEntry<Record>> &entry = lastEntries[name];
         entry.reset();
         if (object.isDeleted) {
             continue;
         }
-        ParsedTarget target = parseTarget(object);
-        if (target.record.has_value()) {
-            entry = TargetEntry{ std::move(*target.record), object.version };
+        auto parsed = parse(object, name);
+        if (parsed.record.has_value()) {
+            entry = StoreEntry<Record>{ std::move(*parsed.record), object.version };
         } else {
-            ignored.push_back({ name, object.version, target.problem });
+            ignored.push_back({ name, object.version, parsed.problem });
         }
     }
-    TargetUpdate update{ read.isSnapshot, read.from, read.revision, read.requestedAt, {}, {} };
+    EntryUpdate<Record> update{ read.isSnapshot, read.from, read.revision, read.requestedAt, {}, {} };
     for (auto &[name, entry] : lastEntries) {
         if (entry.has_value()) {
             update.updated.push_back(std::move(*entry));
@@ -89,11 +103,27 @@
     }
     return update;
 }
+}
+
+TargetUpdate makeTargetUpdate(const ObjectReadResult &read, std::vector<IgnoredEntry> &ignored)
+{
+    return makeUpdate<TargetRecord>(read, targetPrefix, ignored, [](const PlatformObject &object, const std::string &) { return parseTarget(object); });
+}
+
+EvacuationUpdate makeEvacuationUpdate(const ObjectReadResult &read, std::vector<IgnoredEntry> &ignored)
+{
+    return makeUpdate<EvacuationRecord>(read, evacuationPrefix, ignored, [](const PlatformObject &object, const std::string &name) {
+        return name.empty() ? ParsedRecord<EvacuationRecord>{ std::nullopt, "an empty name" }
+                            : ParsedRecord<EvacuationRecord>{ EvacuationRecord{ name, object.version }, "" };
+    });
+}
 
 FlowSettings makeFlowSettings(const FlowServiceSettings &flows)
 {
     FlowSettings settings = flows.parts;
     settings.freshnessLifetime = std::max(settings.freshnessLifetime, makeStoreReaderSettings(flows).maxConfirmationInterval);
+    settings.needsEvacuations = flows.evacuationBound.has_value();
+    settings.evacuationsTimeout = flows.initialReadTimeout;
     return settings;
 }
 
--- a/src/apps/storereadersettings.h
+++ b/src/apps/storereadersettings.h
@@ -1,10 +1,10 @@
 #pragma once
 
-// Timeouts with which an instance that forwards flows reads the store, derived from the deployment's time limits, and the parsing of target objects.
+// Timeouts with which an instance that forwards flows reads the store, derived from the deployment's time limits, and the conversion of objects to updates.
 
 #include "apps/settings.h"
+#include "sharing/entryview.h"
 #include "sharing/sharingsettings.h"
-#include "sharing/targetview.h"
 #include "store/objectwatcher.h"
 
 namespace hornbeam {
@@ -13,6 +13,7 @@
 {
     WatcherSettings targets;
     WatcherSettings configurations;
+    WatcherSettings evacuations; // unused without a bound for them
     SharingSettings sharing;
     Duration shortestGuaranteedBound{ 0 }; // shorter bounds may be exceeded while calls of the store fail
     Duration listTimeout{ 0 };             // the same as callTimeout, for a page of a list
@@ -20,8 +21,8 @@
     Duration maxConfirmationInterval{ 0 }; // maximum time between two confirmations of the configuration while all calls succeed
 };
 
-/** A target entry that can't be used. */
-struct IgnoredTarget
+/** An entry that can't be used. */
+struct IgnoredEntry
 {
     std::string name;
     uint64_t revision = 0;
@@ -30,11 +31,14 @@
 
 /** Converts a store response to a target update. If an entry changed several times, the last change counts. An entry that can't be used counts as removed, and
  * is appended to `ignored`. Thread safe. */
-TargetUpdate makeTargetUpdate(const ObjectReadResult &read, std::vector<IgnoredTarget> &ignored);
+TargetUpdate makeTargetUpdate(const ObjectReadResult &read, std::vector<IgnoredEntry> &ignored);
+/** The same for evacuations: the object's name is the zone, whatever its content is. */
+EvacuationUpdate makeEvacuationUpdate(const ObjectReadResult &read, std::vector<IgnoredEntry> &ignored);
 
 /** Derives timeouts and delays from the time limits of the deployment. Thread safe. */
 StoreReaderSettings makeStoreReaderSettings(const FlowServiceSettings &flows);
-/** The settings of the forwarder, with a freshness lifetime of at least the interval at which the configuration is confirmed. Thread safe. */
+/** The settings of the forwarder, with a freshness lifetime of at least the interval at which the configuration is confirmed, and whether it has to know the
+ * evacuations. Thread safe. */
 FlowSettings makeFlowSettings(const FlowServiceSettings &flows);
 
 } // namespace hornbeam
--- a/src/apps/storereadings.cpp
+++ b/src/apps/storereadings.cpp
@@ -1,5 +1,7 @@
 #include "apps/storereadings.h"
 
+#include "membership/membership.h"
+
 #include <algorithm>
 #include <nlohmann/json.hpp>
 
@@ -20,10 +22,8 @@
 
 nlohmann::ordered_json describeReading(StoreResource resource, const SharedStoreReader &sharing, const ObjectWatcher &watcher, TimePoint now)
 {
-    const bool isTargets = resource == StoreResource::Targets;
-    const TimePoint confirmedAt = isTargets ? sharing.targetView().confirmedAt() : sharing.configurationView().confirmedAt();
     nlohmann::ordered_json fields{ { "reading", nameOf(resource) } };
-    fields["age_ms"] = ageMillis(confirmedAt, now);
+    fields["age_ms"] = ageMillis(sharing.view(resource).confirmedAt(), now);
     fields["source"] = sharing.source();
     fields["failures"] = watcher.failureCount();
     fields["call_waiting"] = watcher.isWaiting();
@@ -38,4 +38,46 @@
         + std::to_string(watcher.failureCount()) + "\n";
 }
 
+std::string ageGauge(std::string_view name, TimePoint confirmedAt, TimePoint now)
+{
+    const double age = confirmedAt == TimePoint{} ? -1 : std::chrono::duration<double>(now - confirmedAt).count();
+    return "hornbeam_" + std::string(name) + "_age_seconds " + nlohmann::json(age).dump() + "\n";
+}
+
+std::string membersPageOf(const MemberRecord &self, const std::vector<MemberRecord> &members, const SharedStoreReader &sharing, nlohmann::ordered_json calls,
+                          TimePoint now)
+{
+    using Json = nlohmann::ordered_json;
+    Json list = Json::array();
+    for (const MemberRecord &member : members) {
+        list.push_back({ { "peer", toString(member.peer) },
+                         { "zone", member.zone },
+                         { "state", nameOf(member.state) },
+                         { "incarnation", member.incarnation },
+                         { "source", member.id == sharing.source() } });
+    }
+    Json page{ { "self", toString(self.peer) } };
+    for (const StoreResource resource : storeResources) {
+        if (sharing.isRead(resource)) {
+            page["reads_" + std::string(nameOf(resource))] = sharing.isReader(resource);
+        }
+    }
+    for (const StoreResource resource : storeResources) {
+        if (sharing.isRead(resource)) {
+            const ResourceView &view = sharing.view(resource);
+            page[std::string(nameOf(resource))] = { { "revision", view.revision() }, { "age_ms", ageMillis(view.confirmedAt(), now) } };
+        }
+    }
+    if (sharing.isRead(StoreResource::Evacuations)) {
+        Json zones = Json::array();
+        for (const auto &[name, entry] : sharing.evacuationView().all()) {
+            zones.push_back(name);
+        }
+        page["evacuations"]["zones"] = std::move(zones);
+    }
+    page["store_calls"] = std::move(calls);
+    page["members"] = std::move(list);
+    return page.dump(2, ' ', false, Json::error_handler_t::replace) + "\n";
+}
+
 } // namespace hornbeam
--- a/src/apps/storereadings.h
+++ b/src/apps/storereadings.h
@@ -7,6 +7,7 @@
 
 #include <nlohmann/json_fwd.hpp>
 #include <string>
+#include <vector>
 
 namespace hornbeam {
 
@@ -18,4 +19,11 @@
 /** Time until the next call and failures since the last successful one, in the Prometheus text format. Thread safe if nothing changes the watcher meanwhile. */
 std::string readingGauges(StoreResource resource, const ObjectWatcher &watcher, TimePoint now);
 
+/** Seconds since the store last confirmed some data; -1 if it has not. Thread safe. */
+std::string ageGauge(std::string_view name, TimePoint confirmedAt, TimePoint now);
+/** The members, the current source of store data, the state of the calls, and the revision and age of each resource, as JSON. Thread safe if nothing changes
+ * the arguments meanwhile. */
+std::string membersPageOf(const MemberRecord &self, const std::vector<MemberRecord> &members, const SharedStoreReader &sharing, nlohmann::ordered_json calls,
+                          TimePoint now);
+
 } // namespace hornbeam
--- a/src/peer/storemessages.h
+++ b/src/peer/storemessages.h
@@ -17,12 +17,13 @@
     MemberRecord requester;             // includes its address: a member that has just started doesn't know the others
     uint64_t targetsRevision = 0;       // revision up to which the requester knows the targets; 0 for none
     uint64_t configurationRevision = 0; // revision of the configuration in force at the requester; 0 for none
-    bool wantsSnapshot = false;         // the requester has no data yet and the store doesn't respond to it
+    bool wantsSnapshot = false;         // the requester lacks the data of a resource
+    uint64_t evacuationsRevision = 0;   // revision up to which the requester knows the evacuations; 0 for none
 
     template<typename Visitor>
     void visitFields(Visitor &visit)
     {
-        visit(this->sequence, this->requester, this->targetsRevision, this->configurationRevision, this->wantsSnapshot);
+        visit(this->sequence, this->requester, this->targetsRevision, this->configurationRevision, this->wantsSnapshot, this->evacuationsRevision);
     }
 };
 
@@ -78,13 +79,27 @@
     }
 };
 
-/** Changes of the targets between two store revisions. */
-struct StoreTargetChanges
+/** An evacuated availability zone. */
+struct StoreEvacuation
 {
-    uint64_t from = 0;     // 0: `updated` lists all targets
-    uint64_t revision = 0; // 0: the sender has no targets, or doesn't know the changes since the requester's revision
+    std::string zone;
+    uint64_t revision = 0; // of the store's object
+
+    template<typename Visitor>
+    void visitFields(Visitor &visit)
+    {
+        visit(this->zone, this->revision);
+    }
+};
+
+/** Changes of the entries of one kind between two store revisions. */
+template<typename Entry>
+struct StoreEntryChanges
+{
+    uint64_t from = 0;     // 0: `updated` lists all entries
+    uint64_t revision = 0; // 0: the sender has no such entries, or doesn't know the changes since the requester's revision
     uint32_t ageMs = 0;    // since the sender sent the store request that returned `revision`
-    std::vector<StoreTarget> updated;
+    std::vector<Entry> updated;
     std::vector<std::string> removed;
 
     template<typename Visitor>
@@ -94,6 +109,9 @@
     }
 };
 
+using StoreTargetChanges = StoreEntryChanges<StoreTarget>;
+using StoreEvacuationChanges = StoreEntryChanges<StoreEvacuation>; // revision 0: the sender doesn't know the evacuations
+
 /** Number of open flows that each target of a service accepts. */
 struct StoreConnectionLimit
 {
@@ -138,11 +156,12 @@
     uint32_t heldMs = 0;         // time from receiving the StoreQuery to this response; with the ages it bounds the data's age at the requester despite delays
     StoreTargetChanges targets;
     StoreConfigurationChanges configuration;
+    StoreEvacuationChanges evacuations;
 
     template<typename Visitor>
     void visitFields(Visitor &visit)
     {
-        visit(this->sequence, this->sender, this->incarnation, this->heldMs, this->targets, this->configuration);
+        visit(this->sequence, this->sender, this->incarnation, this->heldMs, this->targets, this->configuration, this->evacuations);
     }
 };
 
--- a/src/sharing/configurationview.h
+++ b/src/sharing/configurationview.h
@@ -4,6 +4,7 @@
 
 #include "flows/routetable.h"
 #include "peer/messages.h"
+#include "sharing/resourceview.h"
 
 #include <deque>
 #include <memory>
@@ -12,7 +13,7 @@
 namespace hornbeam {
 
 /** Not thread safe: one event loop owns it. */
-class ConfigurationView
+class ConfigurationView final : public ResourceView
 {
 public:
     /** Keeps the last `historySize` configurations, at least 1. Differences of more than `maxRoutesPerUpdate` routes are not sent. */
@@ -27,10 +28,10 @@
     /** Applies changes to the configuration they are based on. Returns nothing if that configuration is not in the history or the changes have no content. */
     std::optional<RouteConfiguration> apply(const StoreConfigurationChanges &changes) const;
 
-    bool isLoaded() const;
+    bool isLoaded() const override;
     /** Revision of the object that holds the newest configuration; 0 before the first. */
-    uint64_t revision() const;
-    TimePoint confirmedAt() const;
+    uint64_t revision() const override;
+    TimePoint confirmedAt() const override;
 
 private:
     struct StoredConfiguration
--- a/src/sharing/targetview.cpp
+++ b/src/sharing/entryview.cpp
@@ -1,4 +1,4 @@
-#include "sharing/targetview.h"
+#include "sharing/entryview.h"
 
 #include <algorithm>
 #include <set>
@@ -40,27 +40,39 @@
     return entry;
 }
 
-TargetView::TargetView(Duration removalRetention) : removalRetention(removalRetention)
+StoreEvacuation toMessage(const EvacuationEntry &entry)
 {
+    return { entry.record.name, entry.record.revision };
 }
 
-std::optional<TargetUpdate> TargetView::update(TargetUpdate update, TimePoint now)
+EvacuationEntry fromMessage(const StoreEvacuation &evacuation)
+{
+    return { { evacuation.zone, evacuation.revision }, evacuation.revision };
+}
+
+template<typename Record>
+EntryView<Record>::EntryView(Duration removalRetention) : removalRetention(removalRetention)
+{
+}
+
+template<typename Record>
+auto EntryView<Record>::update(Update update, TimePoint now) -> std::optional<Update>
 {
     if (!update.isSnapshot && (!this->isLoaded() || update.from > this->coveredRevision)) {
         return std::nullopt;
     }
     if (update.revision < this->coveredRevision) {
-        return TargetUpdate{ false, this->coveredRevision, this->coveredRevision, TimePoint{}, {}, {} };
+        return Update{ false, this->coveredRevision, this->coveredRevision, TimePoint{}, {}, {} };
     }
     this->confirmed = std::max(this->confirmed, update.requestedAt);
     if (update.isSnapshot) {
         return this->applySnapshot(std::move(update), now);
     }
-    std::erase_if(update.updated, [&](const TargetEntry &entry) {
+    std::erase_if(update.updated, [&](const Entry &entry) {
         const auto known = this->entries.find(entry.record.name);
         return known != this->entries.end() && (known->second.revision >= entry.revision || known->second.record == entry.record);
     });
-    for (const TargetEntry &entry : update.updated) {
+    for (const Entry &entry : update.updated) {
         this->add(entry);
     }
     std::erase_if(update.removed, [&](const std::string &name) { return !this->remove(name, update.revision, now); });
@@ -68,10 +80,11 @@
     return update;
 }
 
-TargetUpdate TargetView::applySnapshot(TargetUpdate update, TimePoint now)
+template<typename Record>
+auto EntryView<Record>::applySnapshot(Update update, TimePoint now) -> Update
 {
     std::set<std::string> names;
-    for (const TargetEntry &entry : update.updated) {
+    for (const Entry &entry : update.updated) {
         names.insert(entry.record.name);
         const auto known = this->entries.find(entry.record.name);
         if (known == this->entries.end() || !(known->second.record == entry.record)) {
@@ -96,7 +109,8 @@
     return update;
 }
 
-void TargetView::add(const TargetEntry &entry)
+template<typename Record>
+void EntryView<Record>::add(const Entry &entry)
 {
     this->entries[entry.record.name] = entry;
     this->tombstones.erase(entry.record.name);
@@ -104,7 +118,8 @@
 }
 
 // Also keeps tombstones for unknown names: another member may have read the entry before it was removed.
-bool TargetView::remove(const std::string &name, uint64_t revision, TimePoint now)
+template<typename Record>
+bool EntryView<Record>::remove(const std::string &name, uint64_t revision, TimePoint now)
 {
     Tombstone &tombstone = this->tombstones[name];
     tombstone = { std::max(tombstone.revision, revision), now };
@@ -112,7 +127,8 @@
     return this->entries.erase(name) > 0;
 }
 
-void TargetView::addGap(uint64_t after, uint64_t before)
+template<typename Record>
+void EntryView<Record>::addGap(uint64_t after, uint64_t before)
 {
     if (before - after < 2) {
         return; // no revision in between
@@ -124,9 +140,10 @@
     }
 }
 
-StoreTargetChanges TargetView::changesSince(uint64_t revision, TimePoint now) const
+template<typename Record>
+auto EntryView<Record>::changesSince(uint64_t revision, TimePoint now) const -> Changes
 {
-    StoreTargetChanges changes;
+    Changes changes;
     const bool isInGap = std::any_of(this->gaps.begin(), this->gaps.end(), [&](const Gap &gap) { return gap.after < revision && revision < gap.before; });
     const bool isAvailable = this->isLoaded() && (revision == 0 || (revision >= this->oldestRevision && !isInGap));
     if (!isAvailable) {
@@ -149,12 +166,14 @@
     return changes;
 }
 
-bool TargetView::hasChangedSince(uint64_t revision) const
+template<typename Record>
+bool EntryView<Record>::hasChangedSince(uint64_t revision) const
 {
     return this->latestChange > revision;
 }
 
-void TargetView::expire(TimePoint now)
+template<typename Record>
+void EntryView<Record>::expire(TimePoint now)
 {
     std::erase_if(this->tombstones, [&](const auto &tombstone) {
         if (now - tombstone.second.at < this->removalRetention) {
@@ -165,19 +184,31 @@
     });
 }
 
-bool TargetView::isLoaded() const
+template<typename Record>
+bool EntryView<Record>::isLoaded() const
 {
     return this->coveredRevision != 0;
 }
 
-uint64_t TargetView::revision() const
+template<typename Record>
+uint64_t EntryView<Record>::revision() const
 {
     return this->coveredRevision;
 }
 
-TimePoint TargetView::confirmedAt() const
+template<typename Record>
+TimePoint EntryView<Record>::confirmedAt() const
 {
     return this->confirmed;
 }
 
+template<typename Record>
+auto EntryView<Record>::all() const -> const std::map<std::string, Entry> &
+{
+    return this->entries;
+}
+
+template class EntryView<TargetRecord>;
+template class EntryView<EvacuationRecord>;
+
 } // namespace hornbeam
--- a/src/sharing/sharedstorereader.cpp
+++ b/src/sharing/sharedstorereader.cpp
@@ -14,7 +14,7 @@
 
 std::string_view nameOf(StoreResource resource)
 {
-    constexpr std::array<std::string_view, static_cast<size_t>(StoreResource::Count)> names{ "targets", "configuration" };
+    constexpr std::array<std::string_view, static_cast<size_t>(StoreResource::Count)> names{ "targets", "configuration", "evacuations" };
     return names[static_cast<size_t>(resource)];
 }
 
@@ -27,6 +27,7 @@
     , observer(observer)
     , targets(settings.removalRetention)
     , configurations(settings.configurationHistorySize, settings.maxRoutesPerUpdate)
+    , evacuations(settings.removalRetention)
     , startedAt(clock.now())
 {
 }
@@ -35,15 +36,36 @@
 
 void SharedStoreReader::onStoreTargets(TargetUpdate update, Actions &out)
 {
-    const std::optional<TargetUpdate> applied = this->targets.update(std::move(update), this->clock.now());
+    this->applyFromStore(StoreResource::Targets, this->targets, std::move(update), out);
+}
+
+void SharedStoreReader::onStoreEvacuations(EvacuationUpdate update, Actions &out)
+{
+    this->applyFromStore(StoreResource::Evacuations, this->evacuations, std::move(update), out);
+}
+
+template<typename Record>
+void SharedStoreReader::applyFromStore(StoreResource resource, EntryView<Record> &view, EntryUpdate<Record> update, Actions &out)
+{
+    const auto applied = view.update(std::move(update), this->clock.now());
     if (!applied.has_value()) {
-        this->observer.onStoreReadNeeded(StoreResource::Targets);
+        this->observer.onStoreReadNeeded(resource);
         return;
     }
-    this->observer.onTargetUpdate(*applied, 0);
+    this->notify(*applied, 0);
     this->answerHeldRequests(out);
 }
 
+void SharedStoreReader::notify(const TargetUpdate &update, MemberId source)
+{
+    this->observer.onTargetUpdate(update, source);
+}
+
+void SharedStoreReader::notify(const EvacuationUpdate &update, MemberId source)
+{
+    this->observer.onEvacuationUpdate(update, source);
+}
+
 void SharedStoreReader::onStoreConfiguration(const RouteConfiguration &configuration, uint64_t revision, TimePoint requestedAt, Actions &out)
 {
     if (this->configurations.update(configuration, revision)) {
@@ -93,7 +115,11 @@
 bool SharedStoreReader::hasUpdatesFor(const StoreQuery &request) const
 {
     const bool canAnswer = this->isLoaded() && (request.wantsSnapshot || request.targetsRevision != 0);
-    return canAnswer && (this->configurations.revision() > request.configurationRevision || this->targets.hasChangedSince(request.targetsRevision));
+    // A requester that doesn't read evacuations has no revision of them; changes of theirs are no updates for it.
+    const bool isMissingEvacuations = request.wantsSnapshot && request.evacuationsRevision == 0 && this->evacuations.isLoaded();
+    const bool hasEvacuations = isMissingEvacuations || (request.evacuationsRevision != 0 && this->evacuations.hasChangedSince(request.evacuationsRevision));
+    return canAnswer
+        && (this->configurations.revision() > request.configurationRevision || this->targets.hasChangedSince(request.targetsRevision) || hasEvacuations);
 }
 
 void SharedStoreReader::sendResponse(const HeldRequest &held, TimePoint now, Actions &out)
@@ -109,9 +135,15 @@
         response.configuration = this->configurations.changesSince(request.configurationRevision, request.wantsSnapshot, now);
         response.configuration.unusableRevision = this->unusableRevision;
     }
+    if (request.wantsSnapshot || request.evacuationsRevision != 0) {
+        response.evacuations = this->evacuations.changesSince(request.evacuationsRevision, now);
+        if (response.evacuations.revision == 0) { // the history doesn't reach back; the whole set is small
+            response.evacuations = this->evacuations.changesSince(0, now);
+        }
+    }
     this->counters.add(Counter::StoreNewsSent);
-    const size_t entries =
-        response.targets.updated.size() + response.targets.removed.size() + response.configuration.routes.size() + response.configuration.removed.size();
+    const size_t entries = response.targets.updated.size() + response.targets.removed.size() + response.configuration.routes.size()
+        + response.configuration.removed.size() + response.evacuations.updated.size() + response.evacuations.removed.size();
     if (entries <= this->settings.maxEntriesPerDatagram) {
         out.sendToPeer(request.requester.id, std::move(response));
     } else {
@@ -144,11 +176,21 @@
     const TimePoint arrived =
         std::min(now, this->pendingRequest.sentAt + milliseconds(response.heldMs)); // earliest possible send time of the response by the local clock
     this->pendingRequest = {};
-    this->applyTargets(response, arrived, now);
+    const bool isEmpty = response.configuration.revision == 0; // the member has just started and has no data
+    if (response.targets.revision == 0 && this->targets.isLoaded() && !isEmpty) {
+        this->observer.onStoreReadNeeded(StoreResource::Targets); // the member's history no longer covers our revision
+    }
+    this->applyFromMember(this->targets, response.targets, response.sender, arrived);
     this->applyConfiguration(response, arrived);
+    if (this->settings.readsEvacuations) {
+        this->applyFromMember(this->evacuations, response.evacuations, response.sender, arrived);
+        this->isSourceWithoutEvacuations = !isEmpty && response.evacuations.revision == 0;
+    }
     this->answerHeldRequests(out);
-    const bool isEmpty = response.configuration.revision == 0; // the member has just started and has no data
-    if (isEmpty || this->isOutdated(StoreResource::Targets, now) || this->isOutdated(StoreResource::Configuration, now)) {
+    // A source without evacuations is good for the other resources; the evacuations are then read from the store.
+    const bool isOutdated = this->isOutdated(StoreResource::Targets, now) || this->isOutdated(StoreResource::Configuration, now)
+        || (response.evacuations.revision != 0 && this->isOutdated(StoreResource::Evacuations, now));
+    if (isEmpty || isOutdated) {
         this->counters.add(Counter::StoreNewsOutdated);
         this->suspendSource(response.sender, isEmpty ? "knows_nothing" : "outdated", now);
     }
@@ -160,27 +202,20 @@
     }
 }
 
-void SharedStoreReader::applyTargets(const StoreResponse &response, TimePoint arrived, TimePoint now)
+template<typename Record>
+void SharedStoreReader::applyFromMember(EntryView<Record> &view, const typename EntryView<Record>::Changes &changes, MemberId sender, TimePoint arrived)
 {
-    if (response.targets.revision == 0) {
-        if (this->targets.isLoaded() && response.configuration.revision != 0) {
-            this->observer.onStoreReadNeeded(StoreResource::Targets); // the member's history no longer covers our revision
-        }
+    if (changes.revision == 0) {
         return;
     }
-    TargetUpdate update;
-    update.isSnapshot = response.targets.from == 0;
-    update.from = response.targets.from;
-    update.revision = response.targets.revision;
-    update.requestedAt = arrived - milliseconds(response.targets.ageMs);
-    update.removed = response.targets.removed;
-    for (const StoreTarget &target : response.targets.updated) {
-        update.updated.push_back(fromMessage(target));
+    EntryUpdate<Record> update{ changes.from == 0, changes.from, changes.revision, arrived - milliseconds(changes.ageMs), {}, changes.removed };
+    for (const auto &entry : changes.updated) {
+        update.updated.push_back(fromMessage(entry));
     }
-    const std::optional<TargetUpdate> applied = this->targets.update(std::move(update), now);
+    const auto applied = view.update(std::move(update), this->clock.now());
     if (applied.has_value()) {
         this->counters.add(Counter::StoreNewsTaken, applied->updated.empty() && applied->removed.empty() ? 0 : 1);
-        this->observer.onTargetUpdate(*applied, response.sender);
+        this->notify(*applied, sender);
     }
 }
 
@@ -227,6 +262,7 @@
     if (now >= this->nextExpiry) {
         this->nextExpiry = now + expiryInterval;
         this->targets.expire(now);
+        this->evacuations.expire(now);
         std::erase_if(this->suspendedUntil, [now](const auto &entry) { return entry.second <= now; });
     }
 }
@@ -242,7 +278,7 @@
     if (this->isLoaded() && !this->settings.isShared) {
         return 0;
     }
-    const bool isUpToDate = this->isLoaded() && !this->isOutdated(StoreResource::Targets, now) && !this->isOutdated(StoreResource::Configuration, now);
+    const bool isUpToDate = this->isLoaded() && !this->isAnyOutdated(now);
     const MemberRecord self = this->members.self();
     const uint64_t key = mixHash(readerKey, self.zone);
     for (size_t rank = 0; rank < this->settings.readerCandidates; ++rank) {
@@ -265,6 +301,7 @@
     this->currentSource = next;
     this->pendingRequest = {};
     this->nextRequestAt = {};
+    this->isSourceWithoutEvacuations = false;
     this->observer.onSourceChanged(before, next, reason);
 }
 
@@ -282,21 +319,29 @@
     request.requester = this->members.self();
     request.targetsRevision = this->targets.revision();
     request.configurationRevision = this->configurations.revision();
-    request.wantsSnapshot = !this->isLoaded();
+    request.evacuationsRevision = this->evacuations.revision();
+    request.wantsSnapshot = !this->isLoaded() || (this->settings.readsEvacuations && !this->evacuations.isLoaded());
     this->counters.add(Counter::StoreAsksSent);
     out.sendToPeer(this->currentSource, request);
 }
 
 //--- State
 
+bool SharedStoreReader::isRead(StoreResource resource) const
+{
+    return resource != StoreResource::Evacuations || this->settings.readsEvacuations;
+}
+
 bool SharedStoreReader::isReader(StoreResource resource) const
 {
     const TimePoint now = this->clock.now();
-    const bool isKnown = resource == StoreResource::Targets ? this->targets.isLoaded() : this->configurations.isLoaded();
     const bool hasRequesters = this->lastRequestReceivedAt != TimePoint{} && now - this->lastRequestReceivedAt < this->settings.readerRoleDuration;
     // Other members are normally discovered within the settling time; waiting for it avoids an unnecessary watch call.
     const bool isSettled = this->loadedAt != TimePoint{} && now - this->loadedAt >= this->settings.settlingTime;
-    return !this->settings.isShared || !isKnown || hasRequesters || (this->currentSource == 0 && isSettled) || this->isOutdated(resource, now);
+    const bool isMissingAtSource = resource == StoreResource::Evacuations && this->isSourceWithoutEvacuations;
+    return this->isRead(resource)
+        && (!this->settings.isShared || !this->view(resource).isLoaded() || hasRequesters || (this->currentSource == 0 && isSettled) || isMissingAtSource
+            || this->isOutdated(resource, now));
 }
 
 bool SharedStoreReader::isOutdated(StoreResource resource) const
@@ -306,9 +351,16 @@
 
 bool SharedStoreReader::isOutdated(StoreResource resource, TimePoint now) const
 {
-    const bool isTargets = resource == StoreResource::Targets;
-    const Duration bound = isTargets ? this->settings.maxTargetsAge : this->settings.maxConfigurationAge;
-    return now - (isTargets ? this->targets.confirmedAt() : this->configurations.confirmedAt()) > bound;
+    const std::array<Duration, static_cast<size_t>(StoreResource::Count)> bounds{ this->settings.maxTargetsAge, this->settings.maxConfigurationAge,
+                                                                                  this->settings.maxEvacuationsAge };
+    return this->isRead(resource) && now - this->view(resource).confirmedAt() > bounds[static_cast<size_t>(resource)];
+}
+
+// Evacuations that were never loaded don't count: a store that serves only the other resources must not end the sharing of those.
+bool SharedStoreReader::isAnyOutdated(TimePoint now) const
+{
+    return this->isOutdated(StoreResource::Targets, now) || this->isOutdated(StoreResource::Configuration, now)
+        || (this->evacuations.isLoaded() && this->isOutdated(StoreResource::Evacuations, now));
 }
 
 bool SharedStoreReader::isLoaded() const
@@ -321,6 +373,12 @@
     return this->currentSource;
 }
 
+const ResourceView &SharedStoreReader::view(StoreResource resource) const
+{
+    const std::array<const ResourceView *, static_cast<size_t>(StoreResource::Count)> views{ &this->targets, &this->configurations, &this->evacuations };
+    return *views[static_cast<size_t>(resource)];
+}
+
 const TargetView &SharedStoreReader::targetView() const
 {
     return this->targets;
@@ -331,4 +389,9 @@
     return this->configurations;
 }
 
+const EvacuationView &SharedStoreReader::evacuationView() const
+{
+    return this->evacuations;
+}
+
 } // namespace hornbeam
--- a/src/sharing/sharedstorereader.h
+++ b/src/sharing/sharedstorereader.h
@@ -13,9 +13,10 @@
 #include "peer/actions.h"
 #include "peer/directory.h"
 #include "sharing/configurationview.h"
+#include "sharing/entryview.h"
 #include "sharing/sharingsettings.h"
-#include "sharing/targetview.h"
 
+#include <array>
 #include <map>
 
 namespace hornbeam {
@@ -25,9 +26,13 @@
 enum class StoreResource : uint8_t {
     Targets,
     Configuration,
+    Evacuations, // read only if SharingSettings::readsEvacuations is set
     Count,
 };
 
+constexpr std::array<StoreResource, static_cast<size_t>(StoreResource::Count)> storeResources{ StoreResource::Targets, StoreResource::Configuration,
+                                                                                               StoreResource::Evacuations };
+
 std::string_view nameOf(StoreResource resource);
 
 /** Receives store updates, whether they come from the store or from a member. Must not call back into the reader. */
@@ -37,6 +42,8 @@
     virtual ~StoreObserver() = default;
     /** New target data; without changes it only confirms the current state. `source` is the member that sent it, 0 for the store itself. */
     virtual void onTargetUpdate(const TargetUpdate &update, MemberId source) = 0;
+    /** New evacuations; without changes it only confirms the current ones. `source` as above. */
+    virtual void onEvacuationUpdate(const EvacuationUpdate &update, MemberId source) = 0;
     /** A configuration newer than all previous ones, returned by the store to a request begun at `requestedAt` or later. */
     virtual void onConfigurationUpdate(const RouteConfiguration &configuration, uint64_t revision, TimePoint requestedAt, MemberId source) = 0;
     /** A store request begun at `requestedAt` returned no newer configuration, usable or not. */
@@ -58,6 +65,8 @@
 
     /** Handles a target update from the store. */
     void onStoreTargets(TargetUpdate update, Actions &out);
+    /** Handles an update of the evacuations from the store. */
+    void onStoreEvacuations(EvacuationUpdate update, Actions &out);
     /** Handles a configuration from the store's response to a request begun at `requestedAt`. */
     void onStoreConfiguration(const RouteConfiguration &configuration, uint64_t revision, TimePoint requestedAt, Actions &out);
     /** Records that a store call failed or timed out. */
@@ -74,14 +83,18 @@
     /** Sends requests, times them out, and answers held requests. Call it about every 20 ms. */
     void tick(Actions &out);
 
+    /** Whether the deployment uses the resource. */
+    bool isRead(StoreResource resource) const;
     /** Whether this instance currently has to watch the resource in the store itself. */
     bool isReader(StoreResource resource) const;
     /** Whether the data of the resource is so old, or has not been loaded, that this instance has to read it from the store itself. */
     bool isOutdated(StoreResource resource) const;
     /** The member used as the source of updates; 0 while the store is read directly. */
     MemberId source() const;
+    const ResourceView &view(StoreResource resource) const;
     const TargetView &targetView() const;
     const ConfigurationView &configurationView() const;
+    const EvacuationView &evacuationView() const;
 
 private:
     struct PendingRequest
@@ -102,10 +115,16 @@
     bool hasUpdatesFor(const StoreQuery &request) const;
     void sendResponse(const HeldRequest &held, TimePoint now, Actions &out);
     void answerHeldRequests(Actions &out);
-    void applyTargets(const StoreResponse &response, TimePoint arrived, TimePoint now);
+    void notify(const TargetUpdate &update, MemberId source);
+    void notify(const EvacuationUpdate &update, MemberId source);
+    template<typename Record>
+    void applyFromStore(StoreResource resource, EntryView<Record> &view, EntryUpdate<Record> update, Actions &out);
+    template<typename Record>
+    void applyFromMember(EntryView<Record> &view, const typename EntryView<Record>::Changes &changes, MemberId sender, TimePoint arrived);
     void applyConfiguration(const StoreResponse &response, TimePoint arrived);
     void confirmConfiguration(uint64_t revision, TimePoint requestedAt);
     bool isOutdated(StoreResource resource, TimePoint now) const;
+    bool isAnyOutdated(TimePoint now) const;
     bool isLoaded() const;
 
     const SharingSettings settings;
@@ -115,10 +134,12 @@
     StoreObserver &observer;
     TargetView targets;
     ConfigurationView configurations;
+    EvacuationView evacuations;
     uint64_t unusableRevision = 0; // of the newest configuration that can't be parsed, by this instance or by its source
 
     const TimePoint startedAt;
-    MemberId currentSource = 0; // 0: the store
+    MemberId currentSource = 0;              // 0: the store
+    bool isSourceWithoutEvacuations = false; // it runs without the setting or has not read them yet
     PendingRequest pendingRequest;
     TimePoint nextRequestAt;
     uint64_t nextSequence = 1;
--- a/src/sharing/sharingsettings.h
+++ b/src/sharing/sharingsettings.h
@@ -20,7 +20,9 @@
     Duration fullSyncDelayAfterFailure = milliseconds(700); // the same once a store call has failed
     Duration maxTargetsAge = seconds(3);                    // age of the target data above which this instance reads the store itself
     Duration maxConfigurationAge = seconds(3);              // the same for the configuration
-    Duration removalRetention = seconds(60);                // how long tombstones of removed targets are kept for members that were disconnected
+    bool readsEvacuations = false;                          // whether the deployment evacuates zones
+    Duration maxEvacuationsAge = seconds(3);                // the same for the evacuations
+    Duration removalRetention = seconds(60);                // how long tombstones of removed entries are kept for members that were disconnected
     size_t readerCandidates = 3;                            // members tried as a source, in order, before the store is read
     size_t configurationHistorySize = 4;                    // base configurations available for differences
     size_t maxRoutesPerUpdate = 64;   // larger changes are read from the store, so that requests of all members don't saturate one member's link
--- a/tests/configurationbound_test.cpp
+++ b/tests/configurationbound_test.cpp
@@ -157,7 +157,8 @@
             return;
         }
         for (const SharedStore::Change &change : this->store.changes) {
-            const bool isLate = change.target.empty() && now - change.at > this->flows.changeBound && change.configuration.version > node.configuration.version;
+            const bool isLate = change.prefix == configurationKeyPrefix && now - change.at > this->flows.changeBound
+                && change.configuration.version > node.configuration.version;
             if (isLate) {
                 this->report(index,
                              "has version " + std::to_string(node.configuration.version) + " although version " + std::to_string(change.configuration.version)
--- a/tests/flowplatform_test.cpp
+++ b/tests/flowplatform_test.cpp
@@ -336,7 +336,7 @@
         object.isDeleted = true;
         return object;
     };
-    std::vector<IgnoredTarget> ignored;
+    std::vector<IgnoredEntry> ignored;
 
     SECTION("removed, then registered again under the same name")
     {
--- a/tests/oddentries_test.cpp
+++ b/tests/oddentries_test.cpp
@@ -93,7 +93,7 @@
         CHECK(list.revision == 9);
         CHECK(watch.revision == 9);
         for (const PlatformReply *reply : { &list, &watch }) {
-            std::vector<IgnoredTarget> ignored;
+            std::vector<IgnoredEntry> ignored;
             const TargetUpdate update = makeTargetUpdate({ reply->objects, reply == &list, TimePoint{}, 1, 9 }, ignored);
             CHECK(update.updated.size() == soundEntries);
             CHECK(std::none_of(update.updated.begin(), update.updated.end(), [](const TargetEntry &entry) { return entry.record.name == "odd"; }));
@@ -310,7 +310,7 @@
         entries[2] = object(std::string(70'000, 'a'), soundSpec());
         PlatformReply reply;
         REQUIRE(parseWatchResponse(watchBody(entries), std::string(targetPrefix), reply));
-        std::vector<IgnoredTarget> ignored;
+        std::vector<IgnoredEntry> ignored;
         const TargetUpdate update = makeTargetUpdate({ reply.objects, false, TimePoint{}, 1, 9 }, ignored);
         CHECK(update.updated.size() == soundEntries);
         CHECK(update.removed.empty());
@@ -345,7 +345,7 @@
         RC_ASSERT(parsePage(listBody(entries), std::string(targetPrefix), list, page));
         RC_ASSERT(parseWatchResponse(watchBody(entries), std::string(targetPrefix), watch));
         for (const PlatformReply *reply : { &list, &watch }) {
-            std::vector<IgnoredTarget> ignored;
+            std::vector<IgnoredEntry> ignored;
             const TargetUpdate update = makeTargetUpdate({ reply->objects, reply == &list, TimePoint{}, 1, 9 }, ignored);
             RC_ASSERT(update.updated.size() + ignored.size() == soundEntries + 1);
             RC_ASSERT(update.updated.size() >= soundEntries);
--- a/tests/packaging_test.cpp
+++ b/tests/packaging_test.cpp
@@ -4,6 +4,7 @@
 
 #include <catch2/catch.hpp>
 #include <fstream>
+#include <regex>
 #include <set>
 #include <sstream>
 
@@ -40,6 +41,32 @@
             CHECK(checked.settings->seeds.size() >= 3);
         }
     }
+    SECTION("the template of the users' platform, with and without a bound for evacuations")
+    {
+        std::ifstream file(HORNBEAM_SOURCE_DIR "/deploy/settings.template.json");
+        std::ostringstream content;
+        content << file.rdbuf();
+        const auto render = [&content](bool hasEvacuation) {
+            std::string text = content.str();
+            const auto replace = [&text](const char *pattern, const char *with) { text = std::regex_replace(text, std::regex(pattern), with); };
+            replace(R"(\{\{#seeds\}\}.*?\{\{/seeds\}\})", R"("127.0.0.9:1","127.0.0.8:1")");
+            replace(R"(\{\{#bounds.evacuateMs\}\}(.*?)\{\{/bounds.evacuateMs\}\})", hasEvacuation ? "$1" : "");
+            replace(R"(\{\{(nodeName|zone)\|json\}\})", R"("n")");
+            replace(R"(\{\{ip\|json\}\})", R"("127.0.0.1")");
+            replace(R"(\{\{internalPorts.0\}\})", "1001");
+            replace(R"(\{\{internalPorts.1\}\})", "1002");
+            replace(R"(\{\{bootstrap\|json\}\})", "true");
+            replace(R"(\{\{[^}|]*\|json\}\})", R"("127.0.0.1:80")");
+            replace(R"(\{\{[^}]*\}\})", "5000");
+            return parseSettings(text);
+        };
+        for (const bool hasEvacuation : { false, true }) {
+            const CheckedSettings checked = render(hasEvacuation);
+            REQUIRE(checked.settings.has_value());
+            CHECK(checked.settings->flows->drainBound == seconds(5));
+            CHECK(checked.settings->flows->evacuationBound.has_value() == hasEvacuation);
+        }
+    }
     SECTION("tables: applied to an empty one, they parse without a fault")
     {
         for (const Example &example : { Example{ "merpati-lepas-booking.csv", 14, 2, 3 }, Example{ "merpati-lepas-catalogue.csv", 4, 2, 3 },
--- a/tests/settings_test.cpp
+++ b/tests/settings_test.cpp
@@ -129,6 +129,22 @@
         REQUIRE(again.faults.empty());
         CHECK(again.settings->flows->stability == seconds(4));
     }
+    SECTION("evacuations are read only with a bound for them, which counts for sharing like the other bounds")
+    {
+        CHECK_FALSE(makeStoreReaderSettings(*parseSettings(object.dump()).settings->flows).sharing.readsEvacuations);
+        CHECK_FALSE(makeFlowSettings(*parseSettings(object.dump()).settings->flows).needsEvacuations);
+        object["flows"]["evacuation_bound_ms"] = 5000;
+        const CheckedSettings checked = parseSettings(writeSettings(*parseSettings(object.dump()).settings));
+        REQUIRE(checked.faults.empty());
+        CHECK(checked.settings->flows->evacuationBound == seconds(5));
+        const StoreReaderSettings reading = makeStoreReaderSettings(*checked.settings->flows);
+        CHECK(reading.sharing.readsEvacuations);
+        CHECK(reading.sharing.isShared);
+        CHECK(reading.sharing.maxEvacuationsAge < seconds(5));
+        CHECK(makeFlowSettings(*checked.settings->flows).needsEvacuations);
+        object["flows"]["evacuation_bound_ms"] = 1500;
+        CHECK_FALSE(makeStoreReaderSettings(*parseSettings(object.dump()).settings->flows).sharing.isShared);
+    }
     SECTION("the time until an entry lapses follows the heartbeat")
     {
         object["flows"]["target_heartbeat_ms"] = 770;
--- a/tests/sharing_test.cpp
+++ b/tests/sharing_test.cpp
@@ -272,7 +272,9 @@
 TEST_CASE("the age a member assumes for its data is never less than the true age, and all members converge")
 {
     const bool passed = rc::check("random pauses, crashes, store failures, message losses and delays", [] {
-        Zone zone(6);
+        FlowServiceSettings flows;
+        flows.evacuationBound = seconds(5);
+        Zone zone(6, flows);
         bool ageBoundsHold = true;
         zone.afterStep = [&] { ageBoundsHold = ageBoundsHold && zone.ageBoundsHold(); };
         std::minstd_rand random(*rc::gen::inRange(1, 1 << 30));
@@ -281,7 +283,7 @@
         zone.extraDelay = [&]() -> Duration { return below(20) == 0 ? milliseconds(below(3000)) : milliseconds(below(20)); };
         for (size_t round = 0; round < 30; ++round) {
             const size_t nodeIndex = below(6);
-            switch (below(8)) {
+            switch (below(10)) {
             case 0:
                 zone.at(nodeIndex).isFrozen = !zone.at(nodeIndex).isFrozen;
                 break;
@@ -303,6 +305,12 @@
             case 6:
                 zone.store.remove("target-" + std::to_string(below(30)), zone.clock.now());
                 break;
+            case 7:
+                zone.store.evacuate("z" + std::to_string(below(3)), zone.clock.now());
+                break;
+            case 8:
+                zone.store.endEvacuation("z" + std::to_string(below(3)), zone.clock.now());
+                break;
             default:
                 zone.store.put(makeTarget("target-" + std::to_string(below(30)), localZone, "booking", round + 2), zone.clock.now());
             }
@@ -317,6 +325,7 @@
         zone.run(seconds(15));
         for (const auto &node : zone.nodes) {
             RC_ASSERT(node->configuration.version == zone.store.configuration.version);
+            RC_ASSERT(node->evacuated == zone.store.evacuations);
             RC_ASSERT(node->targets.size() == zone.store.targets.size());
             for (const auto &[name, entry] : zone.store.targets) {
                 RC_ASSERT(node->targets.at(name) == entry.first);
--- a/tests/sharingnetwork.h
+++ b/tests/sharingnetwork.h
@@ -5,6 +5,7 @@
 #include "apps/storereadersettings.h"
 #include "fakedirectory.h"
 #include "peer/codec.h"
+#include "platform/flowobjects.h"
 #include "sharing/sharedstorereader.h"
 #include "store/objectwatcher.h"
 
@@ -15,6 +16,9 @@
 
 namespace hornbeam {
 
+constexpr std::string_view targetKeyPrefix = "targets/";
+constexpr std::string_view configurationKeyPrefix = "configurations/";
+
 /** Contents of the store, and the time at which each change was acknowledged. */
 struct SharedStore
 {
@@ -22,8 +26,9 @@
     {
         uint64_t revision = 0;
         TimePoint at;
-        std::string target; // empty for a configuration
-        std::optional<TargetRecord> record;
+        std::string_view prefix; // of the object's key
+        std::string name;
+        bool isRemoved = false;
         RouteConfiguration configuration;
     };
 
@@ -31,20 +36,34 @@
     std::map<std::string, std::pair<TargetRecord, uint64_t>> targets;
     RouteConfiguration configuration;
     uint64_t configurationRevision = 0;
-    bool isConfigurationUsable = true; // whether instances can parse it
+    bool isConfigurationUsable = true;           // whether instances can parse it
+    std::map<std::string, uint64_t> evacuations; // revision by zone name
+    uint64_t historyStart = 0;                   // watches from an earlier revision are refused
     std::vector<Change> changes;
 
     void put(const TargetRecord &record, TimePoint now)
     {
         ++this->revision;
         this->targets[record.name] = { record, this->revision };
-        this->changes.push_back({ this->revision, now, record.name, record, {} });
+        this->changes.push_back({ this->revision, now, targetKeyPrefix, record.name, false, {} });
     }
     void remove(const std::string &name, TimePoint now)
     {
         ++this->revision;
         this->targets.erase(name);
-        this->changes.push_back({ this->revision, now, name, std::nullopt, {} });
+        this->changes.push_back({ this->revision, now, targetKeyPrefix, name, true, {} });
+    }
+    void evacuate(const std::string &zone, TimePoint now)
+    {
+        ++this->revision;
+        this->evacuations[zone] = this->revision;
+        this->changes.push_back({ this->revision, now, evacuationPrefix, zone, false, {} });
+    }
+    void endEvacuation(const std::string &zone, TimePoint now)
+    {
+        ++this->revision;
+        this->evacuations.erase(zone);
+        this->changes.push_back({ this->revision, now, evacuationPrefix, zone, true, {} });
     }
     void configure(const RouteConfiguration &next, TimePoint now)
     {
@@ -52,13 +71,10 @@
         this->configuration = next;
         this->configurationRevision = this->revision;
         this->isConfigurationUsable = true;
-        this->changes.push_back({ this->revision, now, "", std::nullopt, next });
+        this->changes.push_back({ this->revision, now, configurationKeyPrefix, "", false, next });
     }
 };
 
-constexpr std::string_view targetKeyPrefix = "targets/";
-constexpr std::string_view configurationKeyPrefix = "configurations/";
-
 /** One instance's client of the store. */
 class FakeStoreClient final : public PlatformApi
 {
@@ -87,12 +103,14 @@
     {
         ++this->calls;
         this->configurationLists += prefix == configurationKeyPrefix ? 1 : 0;
-        this->waiting.push_back({ prefix, 0, true, this->clock.now(), Duration{ 0 }, std::move(done), this->state });
+        this->evacuationCalls += prefix == evacuationPrefix ? 1 : 0;
+        this->waiting.push_back({ prefix, 0, true, this->clock.now(), Duration{ 0 }, std::move(done), this->stateOf(prefix) });
     }
     void watch(const std::string &prefix, uint64_t after, Duration timeout, PlatformCallback done) override
     {
         ++this->calls;
-        this->waiting.push_back({ prefix, after, false, this->clock.now(), timeout, std::move(done), this->state });
+        this->evacuationCalls += prefix == evacuationPrefix ? 1 : 0;
+        this->waiting.push_back({ prefix, after, false, this->clock.now(), timeout, std::move(done), this->stateOf(prefix) });
     }
 
     /** Completes the calls that are due. */
@@ -132,6 +150,8 @@
 
     size_t calls = 0;
     size_t configurationLists = 0;
+    size_t evacuationCalls = 0;
+    std::string_view failingPrefix; // calls for it fail immediately
 
 private:
     struct Call
@@ -151,21 +171,25 @@
         PlatformCallback done;
     };
 
+    State stateOf(const std::string &prefix) const
+    {
+        return prefix == this->failingPrefix ? State::Refusing : this->state;
+    }
     bool isDue(const Call &call) const
     {
         const Duration waited = this->clock.now() - call.begun;
         if (call.state == State::Silent) {
             return waited >= (call.isList ? this->listTimeout : call.timeout + this->callTimeout);
         }
-        return waited >= latency && (call.isList || call.state == State::Refusing || waited >= call.timeout || !this->changesOf(call).empty());
+        const bool isImmediate = call.isList || call.state == State::Refusing || call.after < this->store.historyStart;
+        return waited >= latency && (isImmediate || waited >= call.timeout || !this->changesOf(call).empty());
     }
     std::vector<PlatformObject> changesOf(const Call &call) const
     {
         std::vector<PlatformObject> objects;
         for (const SharedStore::Change &change : this->store.changes) {
-            const bool isWanted = change.target.empty() == (call.prefix == configurationKeyPrefix);
-            if (isWanted && change.revision > call.after) {
-                objects.push_back({ call.prefix + change.target, change.revision, "", !change.target.empty() && !change.record.has_value(), nullptr });
+            if (change.prefix == call.prefix && change.revision > call.after) {
+                objects.push_back({ call.prefix + change.name, change.revision, "", change.isRemoved, nullptr });
             }
         }
         return objects;
@@ -176,6 +200,10 @@
         if (call.state != State::Good) {
             return reply;
         }
+        if (!call.isList && call.after < this->store.historyStart) {
+            reply.outcome = PlatformOutcome::HistoryGone;
+            return reply;
+        }
         reply.outcome = PlatformOutcome::Ok;
         reply.revision = this->store.revision;
         if (!call.isList) {
@@ -184,6 +212,10 @@
             for (const auto &[name, target] : this->store.targets) {
                 reply.objects.push_back({ call.prefix + name, target.second, "", false, nullptr });
             }
+        } else if (call.prefix == evacuationPrefix) {
+            for (const auto &[zone, revision] : this->store.evacuations) {
+                reply.objects.push_back({ call.prefix + zone, revision, "", false, nullptr });
+            }
         } else if (this->store.configurationRevision != 0) {
             reply.objects.push_back({ call.prefix, this->store.configurationRevision, "", false, nullptr });
         }
@@ -220,6 +252,19 @@
                 this->targets.erase(name);
             }
         }
+        void onEvacuationUpdate(const EvacuationUpdate &update, MemberId source) override
+        {
+            if (update.isSnapshot) {
+                this->evacuated.clear();
+            }
+            for (const EvacuationEntry &entry : update.updated) {
+                this->evacuated[entry.record.name] = entry.record.revision;
+            }
+            for (const std::string &name : update.removed) {
+                this->evacuated.erase(name);
+            }
+            this->evacuationSource = source;
+        }
         void onConfigurationUpdate(const RouteConfiguration &next, uint64_t /*revision*/, TimePoint /*requestedAt*/, MemberId source) override
         {
             this->configuration = next;
@@ -231,7 +276,7 @@
         }
         void onStoreReadNeeded(StoreResource resource) override
         {
-            (resource == StoreResource::Targets ? *this->targetWatcher : *this->configurationWatcher).pollNow();
+            this->watchers[static_cast<size_t>(resource)]->pollNow();
         }
         void onSourceChanged(MemberId /*before*/, MemberId /*source*/, std::string_view reason) override
         {
@@ -243,9 +288,11 @@
         Counters counters;
         std::unique_ptr<FakeStoreClient> store;
         std::unique_ptr<SharedStoreReader> sharing;
-        std::unique_ptr<ObjectWatcher> targetWatcher;
-        std::unique_ptr<ObjectWatcher> configurationWatcher;
+        std::array<std::unique_ptr<ObjectWatcher>, static_cast<size_t>(StoreResource::Count)> watchers;
         std::map<std::string, TargetRecord> targets; // as reported to the observer
+        std::map<std::string, uint64_t> evacuated;   // as reported to the observer: revision by zone name
+        MemberId evacuationSource = 0;               // of the last update
+        bool readsEvacuations = true;                // if the deployment evacuates zones
         RouteConfiguration configuration;
         TimePoint configurationConfirmed; // as reported to the observer
         std::vector<std::string> reasons;
@@ -258,7 +305,7 @@
     static constexpr Duration step = milliseconds(10);
     static constexpr Duration delay = milliseconds(2);
 
-    explicit SharingNetwork(size_t count)
+    explicit SharingNetwork(size_t count, FlowServiceSettings flows = {}) : flows(std::move(flows))
     {
         for (size_t i = 0; i < count; ++i) {
             this->nodes.push_back(std::make_unique<Node>(*this));
@@ -287,16 +334,20 @@
         node.configuration = {};
         node.configurationConfirmed = {};
         node.store = std::make_unique<FakeStoreClient>(this->store, this->clock, this->reading, this->storeLatency);
-        node.sharing = std::make_unique<SharedStoreReader>(this->reading.sharing, node.directory, this->clock, node.counters, node);
-        node.targetWatcher = std::make_unique<ObjectWatcher>(
-            *node.store, this->clock, index, std::string(targetKeyPrefix), [this, &node](const ObjectReadResult &read) { this->onTargets(node, read); },
-            this->reading.targets);
-        node.configurationWatcher = std::make_unique<ObjectWatcher>(
-            *node.store, this->clock, index, std::string(configurationKeyPrefix),
-            [this, &node](const ObjectReadResult &read) { this->onConfigurations(node, read); }, this->reading.configurations);
-        for (const auto &watcher : { node.targetWatcher.get(), node.configurationWatcher.get() }) {
+        node.evacuated.clear();
+        SharingSettings sharing = this->reading.sharing;
+        sharing.readsEvacuations = sharing.readsEvacuations && node.readsEvacuations;
+        node.sharing = std::make_unique<SharedStoreReader>(sharing, node.directory, this->clock, node.counters, node);
+        const auto watch = [&](StoreResource resource, std::string_view prefix, const WatcherSettings &settings, ObjectWatcher::ObjectsCallback onObjects) {
+            auto &watcher = node.watchers[static_cast<size_t>(resource)];
+            watcher = std::make_unique<ObjectWatcher>(*node.store, this->clock, index, std::string(prefix), std::move(onObjects), settings);
             watcher->setFailureCallback([&node](const PlatformReply &) { node.sharing->onStoreFailure(); });
-        }
+        };
+        watch(StoreResource::Targets, targetKeyPrefix, this->reading.targets, [this, &node](const ObjectReadResult &read) { this->onTargets(node, read); });
+        watch(StoreResource::Configuration, configurationKeyPrefix, this->reading.configurations,
+              [this, &node](const ObjectReadResult &read) { this->onConfigurations(node, read); });
+        watch(StoreResource::Evacuations, evacuationPrefix, this->reading.evacuations,
+              [this, &node](const ObjectReadResult &read) { this->onEvacuations(node, read); });
         this->updateMembers();
     }
     /** Stops the process. The other nodes' directories still list it. */
@@ -333,8 +384,11 @@
                 Actions out;
                 node.sharing->tick(out);
                 this->send(i, out);
-                node.targetWatcher->tick(node.sharing->isReader(StoreResource::Targets));
-                node.configurationWatcher->tick(node.sharing->isReader(StoreResource::Configuration));
+                for (const StoreResource resource : storeResources) {
+                    if (node.sharing->isRead(resource)) {
+                        node.watchers[static_cast<size_t>(resource)]->tick(node.sharing->isReader(resource));
+                    }
+                }
             }
             if (this->afterStep) {
                 this->afterStep();
@@ -364,6 +418,17 @@
         }
         return this->nodes.size();
     }
+    /** Whether all running instances except `except` and those without the setting know exactly the store's evacuations. */
+    bool allKnowEvacuations(size_t except = ~size_t{ 0 }) const
+    {
+        for (size_t i = 0; i < this->nodes.size(); ++i) {
+            const Node &node = *this->nodes[i];
+            if (i != except && !node.isStopped && !node.isFrozen && node.readsEvacuations && node.evacuated != this->store.evacuations) {
+                return false;
+            }
+        }
+        return true;
+    }
     /** Whether all running instances except `except` know that a target is draining. */
     bool allKnowDraining(const std::string &name, size_t except = ~size_t{ 0 }) const
     {
@@ -395,13 +460,17 @@
         for (const auto &node : this->nodes) {
             const TimePoint targetsAsked = node->sharing->targetView().confirmedAt();
             const TimePoint configurationAsked = node->sharing->configurationView().confirmedAt();
+            const EvacuationView &evacuations = node->sharing->evacuationView();
             for (const SharedStore::Change &change : this->store.changes) {
-                const bool isTarget = !change.target.empty();
+                const bool isTarget = change.prefix == targetKeyPrefix;
+                if (change.prefix == evacuationPrefix && change.at < evacuations.confirmedAt() && evacuations.revision() < change.revision) {
+                    return false;
+                }
                 if (isTarget && change.at < targetsAsked && node->sharing->targetView().revision() < change.revision) {
                     return false;
                 }
                 const bool isUnknown = node->configuration.version < change.configuration.version;
-                if (!isTarget && isUnknown && (change.at < configurationAsked || change.at < node->configurationConfirmed)) {
+                if (change.prefix == configurationKeyPrefix && isUnknown && (change.at < configurationAsked || change.at < node->configurationConfirmed)) {
                     return false;
                 }
             }
@@ -444,6 +513,13 @@
         node.sharing->onStoreTargets(std::move(update), out);
         this->send(this->indexOf(node), out);
     }
+    void onEvacuations(Node &node, const ObjectReadResult &read)
+    {
+        std::vector<IgnoredEntry> ignored;
+        Actions out;
+        node.sharing->onStoreEvacuations(makeEvacuationUpdate(read, ignored), out);
+        this->send(this->indexOf(node), out);
+    }
     void onConfigurations(Node &node, const ObjectReadResult &read)
     {
         Actions out;
--- a/tests/sharingzone.h
+++ b/tests/sharingzone.h
@@ -37,7 +37,7 @@
 /** A zone in steady state: targets and a configuration are loaded, and one member reads the store. */
 struct Zone : SharingNetwork
 {
-    explicit Zone(size_t count = nodeCount) : SharingNetwork(count)
+    explicit Zone(size_t count = nodeCount, const FlowServiceSettings &flows = {}) : SharingNetwork(count, flows)
     {
         for (size_t i = 0; i < 30; ++i) {
             this->store.put(makeTarget("target-" + std::to_string(i)), this->clock.now());
