Soak: an operator evacuates a zone and takes it back

Purpose: the bound of an evacuation under the faults of the soak. No target of the zone may get an opening packet, also of a probe, from an instance in touch later than 3 s after the store's acknowledgement. The probed services now have a target in each zone.

--- a/soak/findings.h
+++ b/soak/findings.h
@@ -11,10 +11,11 @@
 namespace hornbeam::soak {
 
 // the bounds that the deployment promises, as in the users' site files
-constexpr seconds stability(4);   // after a disturbance, until bounds hold again
-constexpr seconds drainBound(3);  // from the store's acknowledgement of a draining target to its last new flow
-constexpr seconds changeBound(3); // from the store's acknowledgement of a configuration to its being in force
-constexpr seconds graceBound(6);  // from SIGTERM to the end of a process
+constexpr seconds stability(4);       // after a disturbance, until bounds hold again
+constexpr seconds drainBound(3);      // from the store's acknowledgement of a draining target to its last new flow
+constexpr seconds changeBound(3);     // from the store's acknowledgement of a configuration to its being in force
+constexpr seconds evacuationBound(3); // from the store's acknowledgement of an evacuation to the last new flow to a target of the zone
+constexpr seconds graceBound(6);      // from SIGTERM to the end of a process
 constexpr size_t memoryBoundKb = size_t{ 256 } * 1024;
 
 /** A span of disturbance of one part. Spans may overlap. */
--- a/soak/instances.cpp
+++ b/soak/instances.cpp
@@ -52,6 +52,7 @@
                           { "readiness_address", toString({ instance.address, readinessPort }) },
                           { "drain_bound_ms", millis(drainBound) },
                           { "change_bound_ms", millis(changeBound) },
+                          { "evacuation_bound_ms", millis(evacuationBound) },
                           { "stability_ms", millis(stability) } };
     const std::string fresh = instance.settingsFile + ".new";
     std::ofstream(fresh) << settings;
--- a/soak/operators.cpp
+++ b/soak/operators.cpp
@@ -115,6 +115,28 @@
     this->write([this, key] { this->call(boost::beast::http::verb::delete_, objectPath(key), ""); });
 }
 
+void Operators::evacuate(const std::string &zone)
+{
+    this->write([this, zone] {
+        this->put(std::string(evacuationPrefix) + zone, "{}");
+        this->evacuations[zone] = this->clock.now();
+    });
+}
+
+void Operators::endEvacuation(const std::string &zone)
+{
+    this->write([this, zone] {
+        this->evacuations.erase(zone); // it may take effect before the store acknowledges it
+        this->call(boost::beast::http::verb::delete_, objectPath(std::string(evacuationPrefix) + zone), "");
+    });
+}
+
+bool Operators::isEvacuatedForLong(const std::string &zone, TimePoint now) const
+{
+    const auto found = this->evacuations.find(zone);
+    return found != this->evacuations.end() && now - found->second > evacuationBound;
+}
+
 //--- Routes
 
 void Operators::addRoute(const std::string &name, RequestKind kind, const std::string &service)
--- a/soak/operators.h
+++ b/soak/operators.h
@@ -38,6 +38,13 @@
     /** Removes an entry by its key. */
     void removeEntry(const std::string &key);
 
+    /** Evacuates a zone. */
+    void evacuate(const std::string &zone);
+    /** Ends the evacuation of a zone. */
+    void endEvacuation(const std::string &zone);
+    /** Whether a zone has been evacuated for so long that no instance may place a flow there. */
+    bool isEvacuatedForLong(const std::string &zone, TimePoint now) const;
+
     /** Adds a route to the next configuration that is written. */
     void addRoute(const std::string &name, RequestKind kind, const std::string &service);
     /** Adds a route of requests that a later dropRoute may take away, and writes a configuration. */
@@ -75,10 +82,11 @@
     const Endpoint store;
     BlockingPlatform client;
     std::minstd_rand random;
-    std::deque<RouteLife> routes;   // also dropped ones
-    std::set<std::string> dropping; // names of routes that the next configuration leaves out
-    uint64_t version = 0;           // of the last configuration
-    uint32_t oddEntries = 0;        // left so far
+    std::deque<RouteLife> routes;                 // also dropped ones
+    std::set<std::string> dropping;               // names of routes that the next configuration leaves out
+    std::map<std::string, TimePoint> evacuations; // by zone: when the store acknowledged it
+    uint64_t version = 0;                         // of the last configuration
+    uint32_t oddEntries = 0;                      // left so far
     bool isStorePaused = false;
     std::deque<std::function<void()>> writes; // kept back
 };
--- a/soak/plan.cpp
+++ b/soak/plan.cpp
@@ -16,6 +16,9 @@
 constexpr milliseconds longestMoveGap(2500);
 constexpr milliseconds shortestRefusal(2000);
 constexpr milliseconds longestRefusal(9000);
+constexpr milliseconds longestEvacuationGap(4000); // between the end of an evacuation and the next one: never two at a time
+constexpr milliseconds shortestEvacuation(1000);
+constexpr milliseconds longestEvacuation(9000); // several seconds longer than its bound
 }
 
 std::string_view nameOf(StepKind kind)
@@ -23,7 +26,7 @@
     constexpr std::array<std::string_view, static_cast<size_t>(StepKind::Count)> names{
         "restart_instance", "roll_instances", "reload_settings", "replace_target", "add_route", "drop_route",    "change_storm", "kill_instance",
         "kill_half",        "pause_instance", "crash_target",    "freeze_target",  "cut_link",  "silence_store", "reset_store",  "delay_store",
-        "cut_store",        "lapse_entry",    "lose_writes",     "pause_store",    "odd_entry", "move_route",    "refuse_store"
+        "cut_store",        "lapse_entry",    "lose_writes",     "pause_store",    "odd_entry", "move_route",    "refuse_store", "evacuate_zone"
     };
     return names[static_cast<size_t>(kind)];
 }
@@ -40,7 +43,7 @@
 
 bool isPlanned(StepKind kind)
 {
-    return kind <= StepKind::ChangeStorm || kind == StepKind::OddEntry || kind == StepKind::MoveRoute;
+    return kind <= StepKind::ChangeStorm || kind == StepKind::OddEntry || kind == StepKind::MoveRoute || kind == StepKind::EvacuateZone;
 }
 
 // Drawn apart from the other steps, so that each seed keeps those.
@@ -76,6 +79,21 @@
     return plan;
 }
 
+// Drawn apart as well.
+Plan withEvacuations(Plan plan, uint64_t seed, Duration length)
+{
+    std::mt19937_64 random(seed ^ 0x65766163ULL);
+    const auto between = [&random](milliseconds low, milliseconds high) {
+        return milliseconds(std::uniform_int_distribution<int64_t>(low.count(), high.count())(random));
+    };
+    for (Duration at = between(shortestGap, longestEvacuationGap); at < length;) {
+        const Duration lasts = between(shortestEvacuation, longestEvacuation);
+        plan.push_back({ at, StepKind::EvacuateZone, static_cast<uint32_t>(random()), lasts });
+        at += lasts + between(shortestGap, longestEvacuationGap);
+    }
+    return plan;
+}
+
 Plan sorted(Plan plan)
 {
     std::stable_sort(plan.begin(), plan.end(), [](const Step &a, const Step &b) { return a.at < b.at; });
@@ -103,7 +121,7 @@
         if (step.at + step.lasts > length - calm) {
             plan.push_back(lastRelease);
             plan.push_back(lastEdit);
-            return sorted(withConfigurationSteps(withOddEntries(std::move(plan), seed, length), seed, length, calm));
+            return sorted(withEvacuations(withConfigurationSteps(withOddEntries(std::move(plan), seed, length), seed, length, calm), seed, length));
         }
         plan.push_back(step);
     }
--- a/soak/plan.h
+++ b/soak/plan.h
@@ -38,6 +38,8 @@
     // drawn apart
     MoveRoute,   // planned: a route's flows go to another service
     RefuseStore, // a third of the instances get HTTP status 503 or 429 from the store
+    // drawn apart
+    EvacuateZone, // planned: an operator evacuates a zone and ends that later
     Count,
 };
 
--- a/soak/run.cpp
+++ b/soak/run.cpp
@@ -71,7 +71,9 @@
             }
         }
         for (size_t i = 0; i < probedServices; ++i) {
-            this->operators.list(this->targets.add(probedServiceName(i), i % 2 == 0 ? "zone-1" : "zone-2", {}));
+            for (const char *zone : { "zone-1", "zone-2" }) { // one may be evacuated
+                this->operators.list(this->targets.add(probedServiceName(i), zone, {}));
+            }
         }
         this->operators.addRoute("feed", RequestKind::Idempotent, "booking");
         this->operators.addRoute("order", RequestKind::NonIdempotent, "booking");
@@ -105,6 +107,7 @@
         hooks.isInTouch = [this](uint32_t address, TimePoint now) { return this->isInTouch(address, now); };
         hooks.findRoute = [this](const Endpoint &address) { return this->operators.findRoute(address); };
         hooks.isDroppedForLong = [this](const Endpoint &address, TimePoint now) { return this->operators.isDroppedForLong(address, now); };
+        hooks.isEvacuatedForLong = [this](const std::string &zone, TimePoint now) { return this->operators.isEvacuatedForLong(zone, now); };
         hooks.answer = [this](const Answer &answer) { this->callers.onAnswer(answer); };
         hooks.takeProbe = [this](const FlowKey &flow, const SoakTarget &target, uint32_t instance) {
             const bool isProbe = this->probes.isProbed(flow.service);
--- a/soak/steps.cpp
+++ b/soak/steps.cpp
@@ -69,6 +69,9 @@
     case StepKind::MoveRoute:
         this->moveRoute(step.subject);
         break;
+    case StepKind::EvacuateZone:
+        this->evacuateZone(step);
+        break;
     case StepKind::ReplaceTarget:
     case StepKind::CrashTarget:
     case StepKind::FreezeTarget:
@@ -111,6 +114,13 @@
     this->parts.operators.writeConfiguration();
 }
 
+void Steps::evacuateZone(const Step &step)
+{
+    const std::string zone = step.subject % 2 == 0 ? "zone-1" : "zone-2";
+    this->parts.operators.evacuate(zone);
+    this->parts.timers.add(step.lasts, [this, zone] { this->parts.operators.endEvacuation(zone); });
+}
+
 //--- Instances
 
 void Steps::killInstance(Instance &instance)
@@ -208,7 +218,7 @@
         return;
     }
     SoakTarget &target = *usable[step.subject % usable.size()];
-    const std::string zone = target.record.zone == 1 ? "zone-1" : "zone-2";
+    const std::string zone = zoneNameOf(target.record);
     if (step.kind == StepKind::ReplaceTarget) {
         this->replaceTarget(target, zone);
         return;
--- a/soak/steps.h
+++ b/soak/steps.h
@@ -48,6 +48,7 @@
     void pauseInstance(Instance &instance, Duration lasts);
     void leaveOddEntry(const Step &step);
     void moveRoute(uint32_t subject);
+    void evacuateZone(const Step &step);
     void beginStoreStep(const Step &step, Instance &instance);
     void refuseStore(const Step &step);
     void pauseStore(Duration lasts);
--- a/soak/targets.cpp
+++ b/soak/targets.cpp
@@ -137,6 +137,11 @@
 {
     const TimePoint now = this->clock.now();
     const uint32_t instance = target.sender.address().to_v4().to_uint();
+    const bool isInTouch = this->hooks.isInTouch(instance, now);
+    if (isInTouch && this->hooks.isEvacuatedForLong(zoneNameOf(target.record), now)) {
+        this->findings.add(now,
+                           "target " + target.record.name + " got a new flow from " + toString({ instance, 0 }) + " too long after its zone was evacuated");
+    }
     if (this->hooks.takeProbe(packet.flow, target, instance)) {
         return;
     }
@@ -145,7 +150,6 @@
         this->findings.add(now, "target " + target.record.name + " of " + target.record.service + " got a new flow of another service's route");
         return;
     }
-    const bool isInTouch = this->hooks.isInTouch(instance, now);
     if (isInTouch && target.refusesSince != TimePoint{} && now - target.refusesSince > drainBound) {
         this->findings.add(now, "target " + target.record.name + " got a new flow too long after the store knew that it drains");
     }
--- a/soak/targets.h
+++ b/soak/targets.h
@@ -62,13 +62,20 @@
     }
 };
 
+/** Name of a target's zone. Thread safe. */
+inline std::string zoneNameOf(const TargetRecord &record)
+{
+    return record.zone == 1 ? "zone-1" : "zone-2";
+}
+
 /** What targets ask of the run. */
 struct TargetHooks
 {
     std::function<bool(uint32_t instanceAddress, const SoakTarget &target)> isCut; // whether the instance's packets don't reach the target
     std::function<bool(uint32_t instanceAddress, TimePoint now)> isInTouch;
-    std::function<const Route *(const Endpoint &address)> findRoute;              // also a dropped one
-    std::function<bool(const Endpoint &address, TimePoint now)> isDroppedForLong; // no instance in touch may place its flows
+    std::function<const Route *(const Endpoint &address)> findRoute;                // also a dropped one
+    std::function<bool(const Endpoint &address, TimePoint now)> isDroppedForLong;   // no instance in touch may place its flows
+    std::function<bool(const std::string &zone, TimePoint now)> isEvacuatedForLong; // no instance in touch may place flows there
     std::function<void(const Answer &answer)> answer;
     std::function<bool(const FlowKey &flow, const SoakTarget &target, uint32_t instanceAddress)> takeProbe; // whether the opening packet is a probe's
 };
