Flows: a target that refuses a connection and may be overloaded is not ended

Cause: a single refused connection check marked a target silent unless it drained, might be full by its connection limit, or had answered within 20 ms. One of 82 instances sees an overloaded target's answers 150 to 420 ms apart: 1,201 flows of living targets were reset in 6 s.

A refusal is now inconclusive while something speaks for overload: a recent answer or start, another zone, outstanding requests and refusals of the service's other targets, unless this instance's own counts exclude it. Such a target has ended only if it refuses throughout a grace period (1 s at 82 instances, up to 3 s for slow routes) in which a request on an open flow waits and no flow is answered. New flows avoid it meanwhile. The detection of a process that has answered nobody for a second is as fast as before.

tests/flowload_test.cpp: "a target with few flows for its connection limit" demanded a reset after one refusal 106 ms after an answer, at 8 instances; it now waits for a second before its request, and demands the same.

--- a/src/apps/flowlog.cpp
+++ b/src/apps/flowlog.cpp
@@ -122,6 +122,19 @@
                     { "open_flows", target.openFlows } });
 }
 
+void FlowLog::onTargetSuspected(const Target &target, Duration grace)
+{
+    if (this->log.admits("target_suspected")) {
+        this->log.add("target_suspected",
+                      { { "target", target.record.name },
+                        { "service", target.record.service },
+                        { "progress_age_ms", this->ageMillis(target.lastProgress) },
+                        { "outstanding_requests", target.outstandingRequests },
+                        { "open_flows", target.openFlows },
+                        { "grace_ms", std::chrono::duration_cast<milliseconds>(grace).count() } });
+    }
+}
+
 int64_t FlowLog::ageMillis(TimePoint since) const
 {
     constexpr int64_t never = -1;
--- a/src/flows/flowforwarder.cpp
+++ b/src/flows/flowforwarder.cpp
@@ -2,6 +2,8 @@
 
 #include "flows/flowforwarder.h"
 
+#include "flows/refusalevidence.h"
+
 #include <algorithm>
 
 namespace hornbeam {
@@ -138,6 +140,9 @@
     if (this->health.isConfirmedSilent(*target, now)) {
         return this->rejectWithReset(packet, ResetReason::TargetSilent, &state);
     }
+    if (observation.isRetransmission) {
+        PassiveHealth::recordOverdueRequest(*target, state.unansweredSince, this->answers.meanOf(packet.flow.service));
+    }
     // Another instance may have placed the flow after this instance marked the target silent.
     const bool isSuspect = observation.isRetransmission || target->isSilent();
     if (isSuspect && this->health.needsCheck(*target, observation.isRetransmission ? state.unansweredSince : now, now)) {
@@ -254,7 +259,8 @@
 {
     const TimePoint now = this->clock.now();
     const bool wasSilent = target->isSilent();
-    const HealthVerdict verdict = this->health.endCheck(*target, outcome, this->directory.listedAt(*target), this->mayBeFull(*target), now);
+    const CheckContext context = this->checkContextOf(*target, outcome);
+    const HealthVerdict verdict = this->health.endCheck(*target, outcome, context, now);
     if (wasSilent != target->isSilent()) {
         this->observer.onTargetHealth(*target, outcome);
     }
@@ -265,6 +271,10 @@
         this->scheduleRecheck(target);
         this->checkRelatedTargets(*target, out);
     } else if (verdict == HealthVerdict::CheckLater) {
+        this->counters.add(FlowCounter::ChecksInconclusive, target->isOverloadSuspected ? 1 : 0);
+        if (target->isOverloadSuspected && target->refusedAt == now) {
+            this->observer.onTargetSuspected(*target, context.overloadGrace);
+        }
         this->scheduleRecheck(target);
     } else if (verdict == HealthVerdict::StillSilent) {
         this->resetFlows(target, ResetReason::TargetSilent, out); // flows that arrived during the check
@@ -274,6 +284,19 @@
     }
 }
 
+CheckContext FlowForwarder::checkContextOf(const Target &target, CheckOutcome outcome) const
+{
+    CheckContext context;
+    context.listed = this->directory.listedAt(target);
+    if (outcome == CheckOutcome::Refused) {
+        const LoadView view{ this->instanceCount, this->ownZone };
+        context.mayBeFull = this->mayBeFull(target);
+        context.mayBeOverloaded = mayBeOverloaded(target, this->directory.targetsOf(target.record.service), view, this->settings, this->clock.now());
+        context.overloadGrace = overloadGraceOf(target, view, this->settings);
+    }
+    return context;
+}
+
 // This instance sees only its own share of the target's flows.
 bool FlowForwarder::mayBeFull(const Target &target) const
 {
@@ -348,6 +371,7 @@
         return std::max(this->settings.minAnswerTimeout, this->settings.answerTimeoutFactor * this->answers.meanOf(flow.service));
     };
     for (FlowState *state : this->tracker.takeOverdueRequests(now, answerTimeout)) {
+        PassiveHealth::recordOverdueRequest(*state->target, state->unansweredSince, this->answers.meanOf(state->flow.service));
         if (this->health.needsCheck(*state->target, state->unansweredSince, now)) {
             this->beginCheck(state->target, out);
         }
--- a/src/flows/flowforwarder.h
+++ b/src/flows/flowforwarder.h
@@ -69,6 +69,12 @@
     virtual void onDropped(const FlowPacket &packet, DropReason reason) = 0;
     virtual void onTargetChange(const TargetChange &change) = 0;
     virtual void onTargetHealth(const Target &target, CheckOutcome outcome) = 0;
+    /** A refused connection check of a target is inconclusive, because it may be overloaded. `grace`: how long it is given to answer. */
+    virtual void onTargetSuspected(const Target &target, Duration grace)
+    {
+        static_cast<void>(target);
+        static_cast<void>(grace);
+    }
 };
 
 //--- Forwarder
@@ -129,6 +135,7 @@
     void handleTargetChanges(const std::vector<TargetChange> &changes, FlowActions &out);
     bool isConfigurationFresh() const;
     bool mayBeFull(const Target &target) const;
+    CheckContext checkContextOf(const Target &target, CheckOutcome outcome) const;
 
     const FlowSettings settings;
     const ZoneId ownZone;
--- a/src/flows/flowsettings.h
+++ b/src/flows/flowsettings.h
@@ -23,12 +23,16 @@
     uint32_t answerTimeoutFactor = 2;             // time allowed for an answer, as a multiple of the route's mean answer time
 
     // connection checks
-    Duration checkTimeout = milliseconds(50);         // of a normal check; 15 round trips of 3 ms between zones
-    Duration longCheckTimeout = seconds(1);           // of the deciding check when no other target accepts connections promptly; 1 MB at 10 Mbit/s
-    Duration checkInterval = milliseconds(300);       // minimum time between checks triggered by flows; a failed check is valid for this long
-    uint32_t checkFailureThreshold = 2;               // consecutive timed-out checks that mark a target silent while other targets accept connections
-    Duration refusalGrace = milliseconds(300);        // time for a full target that refuses connections to answer a flow
-    Duration recentAnswerAge = milliseconds(20);      // a target that answered a flow this shortly before it refused a connection is checked again
+    Duration checkTimeout = milliseconds(50);    // of a normal check; 15 round trips of 3 ms between zones
+    Duration longCheckTimeout = seconds(1);      // of the deciding check when no other target accepts connections promptly; 1 MB at 10 Mbit/s
+    Duration checkInterval = milliseconds(300);  // minimum time between checks triggered by flows; a failed check is valid for this long
+    uint32_t checkFailureThreshold = 2;          // consecutive timed-out checks that mark a target silent while other targets accept connections
+    Duration refusalGrace = milliseconds(300);   // time for a full target that refuses connections to answer a flow
+    Duration recentAnswerAge = milliseconds(20); // a target that answered a flow this shortly before it refused a connection is checked again
+    Duration overloadAnswerAge = seconds(1);     // a target that refuses a connection may be overloaded if it answered a flow or became ready within this time
+    Duration overloadGrace = seconds(1);         // time for a target that may be overloaded to answer a flow, with many instances
+    Duration overloadGracePerInstance = milliseconds(12); // the same, for each instance: each of them sees only a part of a target's answers
+    Duration maxOverloadGrace = seconds(3);               // upper bound of the same for slow targets; below entryExpiryDelay
     uint32_t fullTargetMargin = 4;                    // flows of a target may be spread this unevenly over the instances; to estimate whether it may be full
     uint32_t maxRelatedChecks = 16;                   // other targets to check when a target falls silent; host and link faults often affect several targets
     Duration initialRecheckDelay = milliseconds(500); // before the first recheck of a silent target; doubles with each failed recheck
--- a/src/flows/passivehealth.cpp
+++ b/src/flows/passivehealth.cpp
@@ -23,13 +23,24 @@
 void PassiveHealth::recordProgress(Target &target, TimePoint now)
 {
     target.lastProgress = now;
+    target.waitingSince = TimePoint{};
+}
+
+void PassiveHealth::recordOverdueRequest(Target &target, TimePoint since, Duration routeMean)
+{
+    const TimePoint waitingSince = std::max(since, target.lastProgress);
+    if (target.waitingSince == TimePoint{} || waitingSince < target.waitingSince) {
+        target.waitingSince = waitingSince;
+        target.waitingRouteMean = routeMean;
+    }
 }
 
 bool PassiveHealth::needsCheck(Target &target, TimePoint since, TimePoint now)
 {
     const bool isAnswering = target.lastProgress > since;
     const bool isRecent = target.checkedAt != TimePoint{} && now - target.checkedAt < this->settings.checkInterval;
-    return !isAnswering && !isRecent && !target.isChecking && (!target.isSilent() || !target.isIdentityUnverified);
+    const bool isScheduled = target.isOverloadSuspected && target.isRefusing() && now < target.nextCheck;
+    return !isAnswering && !isRecent && !isScheduled && !target.isChecking && (!target.isSilent() || !target.isIdentityUnverified);
 }
 
 bool PassiveHealth::isDue(const Target &target, TimePoint now) const
@@ -50,18 +61,17 @@
     return target.isSilent() && !target.isIdentityUnverified && now - target.checkedAt < this->settings.checkInterval;
 }
 
-HealthVerdict PassiveHealth::endCheck(Target &target, CheckOutcome outcome, TimePoint listed, bool mayBeFull, TimePoint now)
+HealthVerdict PassiveHealth::endCheck(Target &target, CheckOutcome outcome, const CheckContext &context, TimePoint now)
 {
     target.isChecking = false;
     if (outcome == CheckOutcome::Connected) {
-        this->handlePassedCheck(target, listed, now);
+        this->handlePassedCheck(target, context.listed, now);
         return HealthVerdict::Unchanged;
     }
     this->counters.add(FlowCounter::ChecksFailed);
     ++target.failedChecks;
     target.isIdentityUnverified = false;
-    const bool mayRefuse = target.phase == TargetPhase::Draining || mayBeFull || this->isAnswering(target);
-    if (outcome == CheckOutcome::Refused && mayRefuse && !target.isSilent() && this->applyRefusalGrace(target, now)) {
+    if (outcome == CheckOutcome::Refused && !target.isSilent() && this->isRefusalInconclusive(target, context, now)) {
         return HealthVerdict::CheckLater;
     }
     if (outcome == CheckOutcome::Refused) {
@@ -83,12 +93,43 @@
         return HealthVerdict::CheckAgain;
     }
     target.silentSince = now;
+    target.isOverloadSuspected = false;
     target.recheckDelay = this->settings.initialRecheckDelay;
     target.nextCheck = now + target.recheckDelay;
     this->counters.add(FlowCounter::TargetsSilenced);
     return HealthVerdict::Silent;
 }
 
+bool PassiveHealth::isRefusalInconclusive(Target &target, const CheckContext &context, TimePoint now) const
+{
+    const bool wasSuspected = target.isOverloadSuspected && target.isRefusing() && target.phase != TargetPhase::Unlisted;
+    if (target.phase != TargetPhase::Draining && (wasSuspected || context.mayBeOverloaded)) {
+        return this->applyOverloadGrace(target, context, now);
+    }
+    target.isOverloadSuspected = false;
+    const bool mayRefuse = target.phase == TargetPhase::Draining || context.mayBeFull || this->isAnswering(target);
+    return mayRefuse && this->applyRefusalGrace(target, now);
+}
+
+// An overloaded target answers the requests of its open flows after the time that its queue takes. So only a request that has waited through the grace period
+// proves that the process has ended. An opening packet proves nothing: a full target refuses it, which only its caller sees.
+bool PassiveHealth::applyOverloadGrace(Target &target, const CheckContext &context, TimePoint now) const
+{
+    // The entry of a process that had ended by refusedAt would have expired.
+    const bool wasAlive = context.listed != TimePoint{} && context.listed - target.refusedAt >= this->settings.entryExpiryDelay;
+    if (!target.isRefusing() || wasAlive) {
+        target.refusedAt = now;
+    }
+    target.isOverloadSuspected = true;
+    target.failedChecks = 0; // its host responds
+    const bool hasRefusedThroughout = now - target.refusedAt >= context.overloadGrace;
+    const bool hasRequestWaited = target.waitingSince != TimePoint{} && now - target.waitingSince >= context.overloadGrace;
+    const TimePoint graceEnd = std::max(target.refusedAt, target.waitingSince) + context.overloadGrace;
+    target.nextCheck =
+        graceEnd > now ? std::min(graceEnd, now + std::max(this->settings.checkInterval, context.overloadGrace / 2)) : now + this->settings.checkInterval;
+    return !hasRefusedThroughout || !hasRequestWaited;
+}
+
 // An overloaded target may refuse connections and still answer its flows.
 bool PassiveHealth::isAnswering(const Target &target) const
 {
@@ -131,6 +172,7 @@
     this->counters.add(FlowCounter::TargetsRecovered, target.isSilent() ? 1 : 0);
     target.silentSince = TimePoint{};
     target.refusedAt = TimePoint{};
+    target.isOverloadSuspected = false;
     target.isIdentityUnverified = false;
     target.recheckDelay = Duration{ 0 };
 }
--- a/src/flows/passivehealth.h
+++ b/src/flows/passivehealth.h
@@ -27,7 +27,16 @@
     CheckAgain,  // inconclusive, as after a single timed-out check; repeat the check now
     Silent,      // the target has just been marked silent
     StillSilent, // the target remains silent; new flows may have arrived during the check
-    CheckLater,  // a draining or full target refuses connections but may still be answering its flows
+    CheckLater,  // a draining, full or overloaded target refuses connections but may still be answering its flows
+};
+
+/** What is known about a target when one of its checks ends. */
+struct CheckContext
+{
+    TimePoint listed;             // when the store last listed the target; TimePoint{} if it is not listed
+    bool mayBeFull = false;       // it may have as many connections as it accepts, and then it refuses the check's
+    bool mayBeOverloaded = false; // see mayBeOverloaded()
+    Duration overloadGrace{ 0 };  // see overloadGraceOf()
 };
 
 /** Not thread safe: owned by one event loop. */
@@ -38,23 +47,24 @@
 
     /** Records that the target answered a flow. */
     void recordProgress(Target &target, TimePoint now);
+    /** Records that a request on an open flow has been waiting for an answer since `since`, longer than usual. `routeMean`: mean answer time of its route. */
+    static void recordOverdueRequest(Target &target, TimePoint since, Duration routeMean);
     /** Whether to check the target's connection now, given a flow that has waited for its answer since `since`. */
     bool needsCheck(Target &target, TimePoint since, TimePoint now);
-    /** Whether the recheck of a silent target, or of a draining one that refused a connection, is due. */
+    /** Whether the recheck of a silent target, or of one whose refusal of a connection was inconclusive, is due. */
     bool isDue(const Target &target, TimePoint now) const;
     /** Marks the start of a check. Returns its timeout. */
     Duration beginCheck(Target &target, TimePoint now);
     /** Whether the target is silent according to a check recent enough that its flows may be reset without another one. */
     bool isConfirmedSilent(const Target &target, TimePoint now) const;
-    /**
-     * Processes the outcome of a check. `listed` is when the store last listed the target; TimePoint{} if it is not listed. `mayBeFull`: the target may have as
-     * many connections as it accepts, and then it refuses the check's.
-     */
-    HealthVerdict endCheck(Target &target, CheckOutcome outcome, TimePoint listed, bool mayBeFull, TimePoint now);
+    /** Processes the outcome of a check. */
+    HealthVerdict endCheck(Target &target, CheckOutcome outcome, const CheckContext &context, TimePoint now);
 
 private:
     bool isAnswering(const Target &target) const;
     bool applyRefusalGrace(Target &target, TimePoint now) const;
+    bool applyOverloadGrace(Target &target, const CheckContext &context, TimePoint now) const;
+    bool isRefusalInconclusive(Target &target, const CheckContext &context, TimePoint now) const;
     void handlePassedCheck(Target &target, TimePoint listed, TimePoint now);
 
     const FlowSettings &settings;
--- a/src/flows/targetchooser.cpp
+++ b/src/flows/targetchooser.cpp
@@ -4,6 +4,11 @@
 
 namespace hornbeam {
 
+namespace {
+// A target that refuses connections is full or has ended. Above any ratio of loads, it gets new flows only if all targets refuse.
+constexpr double refusingTargetFactor = 1000;
+}
+
 TargetChooser::TargetChooser(const FlowSettings &settings, ZoneId ownZone, uint64_t seed)
     : settings(settings), ownZone(ownZone), random(static_cast<std::minstd_rand::result_type>(seed))
 {
@@ -26,7 +31,8 @@
     const double slowness = target.answers < this->settings.minAnswersForSlowness ? 1.0 : std::clamp<double>(target.slowness, 1.0, this->settings.maxSlowness);
     const double distance = target.record.zone == this->ownZone ? 1.0 : this->settings.ownZonePercent / percent;
     const double load = target.outstandingRequests + (target.openFlows + 1) * (this->settings.openFlowPercent / percent);
-    return load * slowness * distance / target.record.slots;
+    const double refusal = target.isRefusing() ? refusingTargetFactor : 1.0;
+    return load * slowness * distance * refusal / target.record.slots;
 }
 
 TargetPtr TargetChooser::leastLoaded(const std::vector<TargetPtr> &targets, const TargetPtr &excluded, const CandidateFilter &filter, TargetPhase phase,
--- a/src/flows/targetchooser.h
+++ b/src/flows/targetchooser.h
@@ -19,9 +19,9 @@
 
     /**
      * Returns the target with the fewest outstanding requests and open flows per slot, weighted by its speed. Targets in the own availability zone are
-     * preferred unless they are much busier than the others. Missing targets that were not draining are used only if no ready target is available, and
-     * targets that refused a connection and may have been replaced by another process only as a last resort. Returns null if no target accepts new flows.
-     * `excluded` may be null. Targets that the filter excludes are not used at all.
+     * preferred unless they are much busier than the others. Targets that refuse connections come after all others of their phase. Missing targets that were
+     * not draining are used only if no ready target is available, and targets that refused a connection and may have been replaced by another process only as a
+     * last resort. Returns null if no target accepts new flows. `excluded` may be null. Targets that the filter excludes are not used at all.
      */
     TargetPtr choose(const std::vector<TargetPtr> &targets, const TargetPtr &excluded, const CandidateFilter &filter);
 
--- a/src/flows/targetdirectory.h
+++ b/src/flows/targetdirectory.h
@@ -76,11 +76,19 @@
     Duration recheckDelay{ 0 };        // doubles with each failed check of a silent target
     bool isChecking = false;           // a check is in progress
     uint32_t failedChecks = 0;         // consecutive
+    bool isOverloadSuspected = false;  // since refusedAt; see mayBeOverloaded()
+    TimePoint waitingSince;            // since when an overdue request on an open flow has waited while no flow was answered; TimePoint{} if there is none
+    Duration waitingRouteMean{ 0 };    // mean answer time of that request's route
 
     bool isSilent() const
     {
         return this->silentSince != TimePoint{};
     }
+    /** Whether the target has refused a connection and answered no flow since. */
+    bool isRefusing() const
+    {
+        return this->refusedAt != TimePoint{} && this->lastProgress <= this->refusedAt;
+    }
 };
 
 using TargetPtr = std::shared_ptr<Target>;
--- a/tests/flowload_test.cpp
+++ b/tests/flowload_test.cpp
@@ -416,6 +416,7 @@
     ForwarderFixture fixture;
     loadWithConnectionLimit(fixture, 2000, 8);
     const PacketDecision opened = fixture.establish(1);
+    fixture.run(milliseconds(1020)); // an answer within the last second would speak for overload
     fixture.send(1, opened.token, 1001, 5000, 100);
     fixture.run(milliseconds(100));
     fixture.endChecks(CheckOutcome::Refused, opened.target->record.name == "b1" ? "b2" : "b1");
