Membership and sockets: round trips, drained receive queues and refused sends are measured

An instance shall find out by itself that it forwards packets late. The answers to its membership probes are timed, also those that come too late for the failure detection, and the packet socket counts how often its receive queue was found empty and how many datagrams were refused for lack of buffer space.

Nothing is added to the work for each packet but one increment.

--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -213,6 +213,7 @@
     if (!this->processSender(ack.sender, ack.tableDigest, out)) {
         return;
     }
+    this->timeRoundTrip(ack);
     this->applyUpdates(ack.updates);
     this->applyZoneContacts(ack.sender.zone, ack.contacts);
     std::erase_if(this->burstProbes, [&ack](const BurstProbe &sentProbe) { return sentProbe.sequence == ack.sequence && sentProbe.subject == ack.sender.id; });
@@ -386,6 +387,7 @@
 
 void Membership::sendPing(MemberId peer, uint64_t sequence, Actions &out)
 {
+    this->timePing(peer, sequence);
     out.sendToPeer(peer, Ping{ sequence, this->ownRecord, this->tableDigest, this->updatesFor(peer), this->zoneContactsFor(peer) });
 }
 
--- a/src/membership/membership.h
+++ b/src/membership/membership.h
@@ -20,6 +20,7 @@
 #include "peer/actions.h"
 #include "peer/directory.h"
 
+#include <deque>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -68,6 +69,13 @@
     std::vector<Endpoint> laggards; // peer endpoints of the live members with other tables
 };
 
+/** The answer of a member of the local zone to a probe of this one. */
+struct ProbeRoundTrip
+{
+    MemberId member = 0;
+    Duration time{ 0 }; // includes the delays of both processes
+};
+
 /** The member directory of one process. All methods are thread safe and block only on the internal mutexes. */
 class Membership final : public MemberDirectory
 {
@@ -102,6 +110,8 @@
     std::vector<MemberId> takeMembersWithDifferentTables();
     /** Sets whether at least half of the local zone's instances are alive. Sent to other zones; while false, other zones are polled for their health. */
     void setOwnZoneHealth(bool isHealthy);
+    /** Returns and clears the round trips since the last call, including those of answers that came too late for the failure detection. */
+    std::vector<ProbeRoundTrip> takeRoundTrips();
     /** How long ago each reachable other zone was last heard of, and last reported as healthy. */
     std::vector<ZoneContact> zoneContacts() const;
     /** All records including this process's own, sorted by identifier. */
@@ -139,6 +149,13 @@
         MemberId subject = 0;
         TimePoint sentAt;
     };
+    /** A ping to a member of the local zone whose answer is timed. */
+    struct TimedPing
+    {
+        uint64_t sequence = 0;
+        MemberId subject = 0;
+        TimePoint sentAt;
+    };
     struct Seed
     {
         ZoneId zone = 0;
@@ -158,6 +175,8 @@
     void applyZoneContacts(ZoneId zone, const std::vector<ZoneContact> &reported);
     unsigned updateTransmitLimit() const;
 
+    void timePing(MemberId peer, uint64_t sequence);
+    void timeRoundTrip(const PingAck &ack);
     void handlePause(TimePoint now);
     void checkProbe(TimePoint now, Actions &out);
     void startProbe(TimePoint now, Actions &out);
@@ -199,6 +218,8 @@
     Probe probe;
     std::vector<IndirectProbe> pendingIndirectProbes;
     std::vector<BurstProbe> burstProbes;
+    std::deque<TimedPing> timedPings;       // in the order of sending
+    std::vector<ProbeRoundTrip> roundTrips; // not yet taken
     TimePoint lastProbeBurst;
     TimePoint lastZonePing;
     bool isOwnZoneHealthy = true;
--- a/src/membership/probes.cpp
+++ b/src/membership/probes.cpp
@@ -3,9 +3,14 @@
 #include "membership/membership.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace hornbeam {
 
+namespace {
+constexpr size_t maxTimedPings = 256; // 64 are too few when answers take 1 s: members are suspected, and each suspicion causes further pings
+}
+
 void Membership::tick(Actions &out)
 {
     const std::lock_guard lock(this->mutex);
@@ -50,6 +55,7 @@
     this->probe.subject = 0;
     this->pendingIndirectProbes.clear();
     this->burstProbes.clear();
+    this->timedPings.clear(); // their round trips would contain the pause
     this->table.extendSuspicions(pause);
     this->contacts.adjustForPause(pause, now);
 }
@@ -74,6 +80,36 @@
     }
 }
 
+void Membership::timePing(MemberId peer, uint64_t sequence)
+{
+    const MemberEntry *entry = this->table.find(peer);
+    if (entry == nullptr || entry->record.zone != this->ownRecord.zone) {
+        return;
+    }
+    if (this->timedPings.size() >= maxTimedPings) {
+        this->timedPings.pop_front();
+    }
+    this->timedPings.push_back({ sequence, peer, this->clock.now() });
+}
+
+void Membership::timeRoundTrip(const PingAck &ack)
+{
+    const auto ping = std::find_if(this->timedPings.begin(), this->timedPings.end(), [&ack](const TimedPing &sent) { return sent.sequence == ack.sequence; });
+    if (ping == this->timedPings.end() || ping->subject != ack.sender.id) {
+        return;
+    }
+    if (this->roundTrips.size() < maxTimedPings) { // bounds memory when nobody takes them
+        this->roundTrips.push_back({ ack.sender.id, this->clock.now() - ping->sentAt });
+    }
+    this->timedPings.erase(ping); // an answer may arrive twice
+}
+
+std::vector<ProbeRoundTrip> Membership::takeRoundTrips()
+{
+    const std::lock_guard lock(this->mutex);
+    return std::exchange(this->roundTrips, {});
+}
+
 /** Probes several members at once after a suspicion, so that the loss of half a zone is detected within two intervals instead of a full probe round. */
 void Membership::startProbeBurst(TimePoint now, Actions &out)
 {
--- a/src/transport/udpsocket.cpp
+++ b/src/transport/udpsocket.cpp
@@ -1,5 +1,6 @@
 #include "transport/udpsocket.h"
 
+#include <atomic>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/udp.hpp>
@@ -86,13 +87,18 @@
                 continue; // ICMP error caused by an earlier send
             }
             if (failure) {
+                ++this->drained;
                 return;
             }
+            ++this->received;
             this->handler(fromAsio(from), this->buffer.data(), size);
         }
     }
 
     udp::socket socket;
+    uint64_t received = 0; // see SocketLoad; these two are only changed on the strand
+    uint64_t drained = 0;
+    std::atomic<uint64_t> sendsRefused{ 0 };
     std::string error;
     DatagramHandler handler;
     std::vector<uint8_t> buffer = std::vector<uint8_t>(maxDatagramBytes);
@@ -134,7 +140,16 @@
 {
     boost::system::error_code failure;
     this->impl->socket.send_to(boost::asio::buffer(packet), toAsio(to), 0, failure);
+    const bool isBufferFull = failure == boost::asio::error::would_block || failure == boost::asio::error::no_buffer_space;
+    if (isBufferFull) {
+        this->impl->sendsRefused.fetch_add(1, std::memory_order_relaxed);
+    }
     return !failure;
 }
 
+SocketLoad UdpSocket::load() const
+{
+    return { this->impl->received, this->impl->drained, this->impl->sendsRefused.load(std::memory_order_relaxed) };
+}
+
 } // namespace hornbeam
--- a/src/transport/udpsocket.h
+++ b/src/transport/udpsocket.h
@@ -20,6 +20,14 @@
 /** Largest UDP payload that can be received; larger datagrams are truncated and then rejected by the decoders. */
 constexpr size_t maxDatagramBytes = 65507;
 
+/** Counters of a socket since it was opened. */
+struct SocketLoad
+{
+    uint64_t received = 0;     // datagrams
+    uint64_t drained = 0;      // times the receive queue was found empty
+    uint64_t sendsRefused = 0; // for lack of buffer space
+};
+
 class UdpSocket
 {
 public:
@@ -42,6 +50,8 @@
     void endReceive();
     /** Sends a datagram without blocking; it is lost when the kernel's buffer is full. Returns false when the kernel rejects it. Thread safe. */
     bool send(const Endpoint &to, const Bytes &packet);
+    /** Precondition: the context is run by one thread, and this is called on it. */
+    SocketLoad load() const;
 
 private:
     class Impl;
