Rotation: an overloaded instance leaves the rotation within the limits of its zone

Cause: an instance whose processor or link is short delays its callers although others of its zone have capacity.

--- a/src/core/counters.cpp
+++ b/src/core/counters.cpp
@@ -13,7 +13,7 @@
     "members_failed",       "table_versions_applied", "table_versions_stale", "table_rows_rejected",   "table_pulls",
     "table_texts_sent",     "platform_calls",         "platform_errors",      "stream_sends_dropped",  "repeats_awaited",
     "store_asks_sent",      "store_asks_unanswered",  "store_news_sent",      "store_news_outdated",   "store_news_taken",
-    "answers_unmatched",
+    "answers_unmatched",    "overloads_detected",     "overload_departures",  "overload_recalls",
 };
 static_assert(std::size(counterNames) == static_cast<size_t>(Counter::Count));
 
--- a/src/core/counters.h
+++ b/src/core/counters.h
@@ -55,6 +55,9 @@
     StoreNewsOutdated,    // received answers too old to be used
     StoreNewsTaken,       // received answers that contained a change
     AnswersUnmatched,     // packets from targets that match no exchange or come from the wrong target
+    OverloadsDetected,    // times this instance found itself overloaded
+    OverloadDepartures,   // times it left the rotation because of that
+    OverloadRecalls,      // times it returned early because fewer instances may be out
     Count,
 };
 
--- a/src/peer/codec.cpp
+++ b/src/peer/codec.cpp
@@ -19,6 +19,11 @@
     return static_cast<uint64_t>(MemberState::Dead);
 }
 template<>
+constexpr uint64_t maxEnumValue<RotationPhase>()
+{
+    return static_cast<uint64_t>(RotationPhase::Out);
+}
+template<>
 constexpr uint64_t maxEnumValue<SlotKind>()
 {
     return static_cast<uint64_t>(SlotKind::Feed);
--- a/src/peer/membermessages.h
+++ b/src/peer/membermessages.h
@@ -119,6 +119,30 @@
     }
 };
 
+/** Where an instance stands with regard to its own overload. */
+enum class RotationPhase : uint8_t {
+    Ready,
+    Overloaded, // in rotation; will leave if the limits of the zone allow it
+    Out,        // out of rotation because it was overloaded
+};
+
+/** Informs the members of the sender's zone that it is overloaded, or no longer. Sent upon changes and repeated until it is Ready. */
+struct RotationReport
+{
+    MemberId sender = 0;
+    Incarnation incarnation = 0; // of the sender; a report of an earlier process is void
+    uint32_t sequence = 0;       // increases with each report of a process; duplicates and delayed reports are dropped
+    RotationPhase phase = RotationPhase::Ready;
+    uint32_t ageMs = 0;   // time in the phase
+    uint32_t delayMs = 0; // estimated delay of its packets, when Out as of leaving; the worst instances leave first
+
+    template<typename Visitor>
+    void visitFields(Visitor &visit)
+    {
+        visit(this->sender, this->incarnation, this->sequence, this->phase, this->ageMs, this->delayMs);
+    }
+};
+
 //--- Table
 
 /** The version of a service's table in force at the sender. */
--- a/src/rotation/rotationpolicy.cpp
+++ b/src/rotation/rotationpolicy.cpp
@@ -22,6 +22,7 @@
 {
     const std::map<ZoneId, ZoneCounts> zones = this->countZones(members, now);
     const auto own = zones.find(this->ownZone);
+    this->ownZoneCounted = own == zones.end() ? 0 : own->second.counted;
     const bool isZoneDegraded = own != zones.end() && this->isDegraded(own->second);
     if (!isZoneDegraded) {
         this->degradedSince = {};
@@ -91,6 +92,11 @@
     return this->degradedSince == TimePoint{};
 }
 
+uint32_t RotationPolicy::countedInstances() const
+{
+    return this->ownZoneCounted;
+}
+
 bool RotationPolicy::isOutOfRotation() const
 {
     return this->outOfRotation;
--- a/src/rotation/rotationpolicy.h
+++ b/src/rotation/rotationpolicy.h
@@ -46,6 +46,8 @@
 
     /** Whether at least half of the own zone's instances are serving. */
     bool isZoneHealthy() const;
+    /** The instances of the own zone that the routers still list, including this one and recently lost ones. */
+    uint32_t countedInstances() const;
     /** Whether this instance should be out of rotation. */
     bool isOutOfRotation() const;
 
@@ -70,6 +72,7 @@
     std::map<MemberId, NonServingMember> nonServingMembers; // members that do not serve, and since when
     TimePoint degradedSince;                                // TimePoint{} while the own zone is healthy
     TimePoint changedAt;
+    uint32_t ownZoneCounted = 0;
     bool outOfRotation = false;
 };
 
