--- a/src/apps/flowdaemon.cpp
+++ b/src/apps/flowdaemon.cpp
@@ -287,12 +287,13 @@
         if (this->lastTick != TimePoint{} && now - this->lastTick > pauseThreshold) {
             this->logEvent("paused", { { "for_ms", std::chrono::duration_cast<milliseconds>(now - this->lastTick).count() } });
         }
+        const LoadSample load = this->measureLoad(now);
         this->lastTick = now;
         this->forwarder.setInstanceCount(this->store.liveInstances());
         FlowActions actions;
         this->forwarder.tick(actions);
         this->perform(actions);
-        this->store.tick();
+        this->store.tick(load);
         this->beginReceiveWhenReady();
         if (now >= this->nextSettingsPoll) {
             this->nextSettingsPoll = now + settingsPollInterval;
@@ -307,6 +308,21 @@
         });
     }
 
+    // What happened since the previous tick.
+    LoadSample measureLoad(TimePoint now)
+    {
+        const SocketLoad socket = this->packets.load();
+        const uint64_t forwarded = this->forwarder.flowCounters().value(FlowCounter::PacketsForwarded);
+        LoadSample load;
+        load.tickDelay = this->lastTick == TimePoint{} ? Duration{ 0 } : std::max<Duration>(now - this->lastTick - tickInterval, Duration{ 0 });
+        load.isBacklogged = socket.received > this->lastSocketLoad.received && socket.drained == this->lastSocketLoad.drained;
+        load.packetsSent = static_cast<uint32_t>(forwarded - this->lastForwarded);
+        load.sendsRefused = static_cast<uint32_t>(socket.sendsRefused - this->lastSocketLoad.sendsRefused);
+        this->lastSocketLoad = socket;
+        this->lastForwarded = forwarded;
+        return load;
+    }
+
     std::filesystem::file_time_type readSettingsTime() const
     {
         std::error_code ignored; // the file may be in the middle of a replacement; the next poll reads the time again
@@ -411,6 +427,8 @@
     std::filesystem::file_time_type settingsTime;
     TimePoint nextSettingsPoll;
     TimePoint lastTick;
+    SocketLoad lastSocketLoad; // as of the previous tick, like the next one
+    uint64_t lastForwarded = 0;
 };
 
 FlowDaemon::FlowDaemon(const DaemonSettings &settings, const std::vector<Bytes> &keys, const std::string &settingsPath)
--- a/src/apps/flowstore.cpp
+++ b/src/apps/flowstore.cpp
@@ -2,6 +2,7 @@
 
 #include "apps/flowstore.h"
 
+#include "apps/overloadrotation.h"
 #include "apps/peerlink.h"
 #include "apps/storereadersettings.h"
 #include "apps/storereadings.h"
@@ -34,13 +35,6 @@
     return store;
 }
 
-SeedSettings makeSeedSettings(const FlowServiceSettings &flows)
-{
-    SeedSettings settings;
-    settings.isFirstStart = flows.isFirstStart;
-    return settings;
-}
-
 // Seeds are known by address only, so member ids are derived from addresses.
 MemberId memberIdFor(const Endpoint &peer)
 {
@@ -72,6 +66,7 @@
               context, Endpoint{ settings.address, settings.peerPort }, peerWorkers, keys, this->counters,
               [this](const PeerMessage &message) { this->onMessage(message); }, [this](MemberId member) { return this->membership.endpointOf(member); })
         , rotation(RotationSettings{}, zoneIdOf(settings.zone))
+        , overload(*settings.flows, this->membership.self(), clock, this->counters, this->logEvent)
         , sharing(makeStoreReaderSettings(*settings.flows).sharing, this->membership, clock, this->counters, observer)
         , client(context, this->counters, makePlatformSettings(settings))
         , targets(
@@ -82,7 +77,7 @@
               makeStoreReaderSettings(*settings.flows).configurations)
         , seeds(
               this->client, clock, seed + 2, settings.zone, Endpoint{ settings.address, settings.peerPort },
-              [this](const Endpoint &peer) { this->addSeed(peer); }, makeSeedSettings(*settings.flows))
+              [this](const Endpoint &peer) { this->addSeed(peer); }, SeedSettings{ .isFirstStart = settings.flows->isFirstStart })
     {
         for (const uint32_t host : settings.flows->seedHosts) {
             this->addSeed({ host, settings.peerPort });
@@ -93,8 +88,9 @@
 
     //--- Store
 
-    void tick()
+    void tick(const LoadSample &load)
     {
+        this->overload.addSample(load);
         Actions out;
         this->membership.tick(out);
         this->sharing.tick(out);
@@ -206,7 +202,9 @@
         }
         std::visit(
             [this, &out](const auto &typed) {
-                if constexpr (requires { this->membership.onMessage(typed, out); }) {
+                if constexpr (requires { this->overload.onMessage(typed); }) {
+                    this->overload.onMessage(typed);
+                } else if constexpr (requires { this->membership.onMessage(typed, out); }) {
                     this->membership.onMessage(typed, out);
                 } else if constexpr (requires { this->sharing.onMessage(typed, out); }) {
                     this->sharing.onMessage(typed, out);
@@ -249,6 +247,9 @@
             this->logEvent(this->rotation.isOutOfRotation() ? "rotation_left" : "rotation_rejoined", { { "members", members.size() } });
         }
         this->membership.setOwnZoneHealth(this->rotation.isZoneHealthy());
+        Actions out;
+        this->overload.update(this->membership, this->rotation, out);
+        this->link.send(out);
     }
 
     void beginLeave()
@@ -272,21 +273,13 @@
         return this->counters.text() + readingGauges(StoreResource::Targets, this->targets, this->clock.now())
             + readingGauges(StoreResource::Configuration, this->configurations, this->clock.now()) + "hornbeam_members_live "
             + std::to_string(this->liveMembers) + "\nhornbeam_store_reader " + (this->sharing.isReader(StoreResource::Targets) ? "1" : "0")
-            + "\nhornbeam_rotation_aside " + (this->rotation.isOutOfRotation() ? "1" : "0") + "\n";
+            + "\nhornbeam_rotation_aside " + (this->rotation.isOutOfRotation() ? "1" : "0") + "\n" + this->overload.gauges();
     }
 
     std::string membersPage() const
     {
         using Json = nlohmann::ordered_json;
         const TimePoint now = this->clock.now();
-        Json members = Json::array();
-        for (const MemberRecord &member : this->membership.members()) {
-            members.push_back({ { "peer", toString(member.peer) },
-                                { "zone", member.zone },
-                                { "state", nameOf(member.state) },
-                                { "incarnation", member.incarnation },
-                                { "source", member.id == this->sharing.source() } });
-        }
         const TargetView &targetView = this->sharing.targetView();
         const ConfigurationView &configurationView = this->sharing.configurationView();
         const Json page{ { "self", toString(this->membership.self().peer) },
@@ -295,7 +288,9 @@
                          { "targets", { { "revision", targetView.revision() }, { "age_ms", ageMillis(targetView.confirmedAt(), now) } } },
                          { "configuration", { { "revision", configurationView.revision() }, { "age_ms", ageMillis(configurationView.confirmedAt(), now) } } },
                          { "store_calls", Json::array({ this->watcherState(StoreResource::Targets), this->watcherState(StoreResource::Configuration) }) },
-                         { "members", std::move(members) } };
+                         { "overload", this->overload.describeSelf() },
+                         { "overloaded_members", this->overload.describeMembers() },
+                         { "members", describeMembers(this->membership.members(), this->sharing.source()) } };
         return page.dump(2) + "\n";
     }
 
@@ -306,6 +301,7 @@
     Membership membership;
     PeerLink link;
     RotationPolicy rotation;
+    OverloadRotation overload;
     SharedStoreReader sharing;
     PlatformClient client;
     ObjectWatcher targets;
@@ -340,9 +336,9 @@
     this->impl->link.beginReceive();
 }
 
-void FlowStore::tick()
+void FlowStore::tick(const LoadSample &load)
 {
-    this->impl->tick();
+    this->impl->tick(load);
 }
 
 void FlowStore::readNow(StoreResource resource)
@@ -377,7 +373,7 @@
 
 bool FlowStore::isOutOfRotation() const
 {
-    return this->impl->rotation.isOutOfRotation();
+    return this->impl->rotation.isOutOfRotation() || this->impl->overload.isOut();
 }
 
 size_t FlowStore::liveInstances() const
--- a/src/apps/flowstore.h
+++ b/src/apps/flowstore.h
@@ -4,6 +4,7 @@
 // to leave the rotation.
 
 #include "apps/settings.h"
+#include "rotation/overloaddetector.h"
 #include "sharing/sharedstorereader.h"
 
 #include <functional>
@@ -33,8 +34,8 @@
     const std::string &error() const;
     /** Starts to receive messages from members. Precondition: error() is empty; called once. */
     void beginReceive();
-    /** Starts calls and sends requests and responses that are due. Call it about every 20 ms. */
-    void tick();
+    /** Starts calls and sends requests and responses that are due. Call it about every 20 ms, with what was measured since the last call. */
+    void tick(const LoadSample &load);
     /** Reads a resource from the store immediately, but at most once a second. */
     void readNow(StoreResource resource);
     /** Selects short or normal timeouts for long polls of the targets. Urgent while a target is missing. */
@@ -48,7 +49,8 @@
     /** Notifies members that this instance has left. */
     void endLeave();
 
-    /** Whether this instance should be out of the routers' rotation, because its zone has lost more than half of its members. */
+    /** Whether this instance should be out of the routers' rotation, because its zone has lost more than half of its members or because this instance
+     *  is overloaded. */
     bool isOutOfRotation() const;
     /** Number of live instances in all zones, including this one. */
     size_t liveInstances() const;
--- a/src/apps/settings.cpp
+++ b/src/apps/settings.cpp
@@ -187,11 +187,13 @@
     readBound("stop_delay_ms", 0, settings.flows->shutdownDelay);
     part.flag("shared_reading", settings.flows->isReadingShared);
     part.flag("leave_rotation", settings.flows->canLeaveRotation);
+    part.flag("leave_when_overloaded", settings.flows->canLeaveWhenOverloaded);
     readSeedHosts(part, settings.flows->seedHosts);
     part.flag("first_start", settings.flows->isFirstStart);
     part.name("peer_group", settings.flows->peerGroup);
     settings.flows->parts.entryExpiryDelay = heartbeatsToLapse * settings.flows->targetHeartbeat + lapseLag;
     readFlowTunables(part, settings.flows->parts);
+    readOverloadTunables(part, settings.flows->overload);
     part.finish();
 }
 
@@ -326,6 +328,7 @@
         object["flows"]["stop_delay_ms"] = millis(settings.flows->shutdownDelay);
         object["flows"]["shared_reading"] = settings.flows->isReadingShared;
         object["flows"]["leave_rotation"] = settings.flows->canLeaveRotation;
+        object["flows"]["leave_when_overloaded"] = settings.flows->canLeaveWhenOverloaded;
         object["flows"]["seed_hosts"] = json::array();
         for (const uint32_t host : settings.flows->seedHosts) {
             object["flows"]["seed_hosts"].push_back(addressText(host));
@@ -333,6 +336,7 @@
         object["flows"]["first_start"] = settings.flows->isFirstStart;
         object["flows"]["peer_group"] = settings.flows->peerGroup;
         writeFlowTunables(settings.flows->parts, object["flows"]);
+        writeOverloadTunables(settings.flows->overload, object["flows"]);
     }
     writeTunables(settings.parts, object);
     return object.dump(2, ' ', false, json::error_handler_t::replace) + "\n";
--- a/src/apps/settings.h
+++ b/src/apps/settings.h
@@ -6,6 +6,7 @@
 #include "core/types.h"
 #include "flows/flowsettings.h"
 #include "node/node.h"
+#include "rotation/overloaddetector.h"
 
 #include <iosfwd>
 #include <optional>
@@ -36,6 +37,8 @@
     bool isFirstStart = false;                     // of the whole system: nobody has written seeds to the store yet
     bool isReadingShared = true;                   // one instance of a zone reads the store for the others
     bool canLeaveRotation = true;                  // the survivors of a zone that lost most of its instances leave it to other zones
+    bool canLeaveWhenOverloaded = true;            // an overloaded instance leaves the rotation; only if canLeaveRotation is set
+    OverloadSettings overload;                     // when it leaves and returns
     Duration initialReadTimeout = seconds(1);      // for which packets are held back until the store has been read; callers give up after 0.8 s or more
     Duration shutdownDelay = milliseconds(1800);   // of forwarding after SIGTERM; routers need up to 2 probes of 500 ms each to stop sending packets
     std::string peerGroup = "hornbeamrouter";      // instances of one deployment share it; signs their messages where there are no key files
--- a/src/apps/storereadings.cpp
+++ b/src/apps/storereadings.cpp
@@ -1,5 +1,7 @@
 #include "apps/storereadings.h"
 
+#include "membership/membership.h"
+
 #include <algorithm>
 #include <nlohmann/json.hpp>
 
@@ -38,4 +40,17 @@
         + std::to_string(watcher.failureCount()) + "\n";
 }
 
+nlohmann::ordered_json describeMembers(const std::vector<MemberRecord> &members, MemberId source)
+{
+    auto list = nlohmann::ordered_json::array();
+    for (const MemberRecord &member : members) {
+        list.push_back({ { "peer", toString(member.peer) },
+                         { "zone", member.zone },
+                         { "state", nameOf(member.state) },
+                         { "incarnation", member.incarnation },
+                         { "source", member.id == source } });
+    }
+    return list;
+}
+
 } // namespace hornbeam
--- a/src/apps/storereadings.h
+++ b/src/apps/storereadings.h
@@ -1,6 +1,6 @@
 #pragma once
 
-// What an instance shows of its reading of the store, in logs, pages and metrics.
+// What an instance shows of its reading of the store and of the members, in logs, pages and metrics.
 
 #include "sharing/sharedstorereader.h"
 #include "store/objectwatcher.h"
@@ -18,4 +18,7 @@
 /** Time until the next call and failures since the last successful one, in the Prometheus text format. Thread safe if nothing changes the watcher meanwhile. */
 std::string readingGauges(StoreResource resource, const ObjectWatcher &watcher, TimePoint now);
 
+/** The members with their states, as a JSON array. `source`: the member that this instance sends its requests to. Thread safe. */
+nlohmann::ordered_json describeMembers(const std::vector<MemberRecord> &members, MemberId source);
+
 } // namespace hornbeam
--- a/src/apps/tunables.cpp
+++ b/src/apps/tunables.cpp
@@ -79,24 +79,50 @@
     tunable<&NodeSettings::membership, &MembershipSettings::indirectProbes>("membership", "indirect_probes", 1, 10),
 };
 
-/** One number of the settings of the flows; durations are in ms. */
-struct FlowTunable
+/** One number of a part of the settings of the flows; durations are in ms. */
+template<typename Part>
+struct PartTunable
 {
     const char *key;
     uint64_t low;
     uint64_t high;
-    uint64_t (*get)(const FlowSettings &flows);
-    void (*set)(FlowSettings &flows, uint64_t number);
+    uint64_t (*get)(const Part &part);
+    void (*set)(Part &part, uint64_t number);
 };
 
+template<typename Part, auto Field>
+constexpr PartTunable<Part> partTunable(const char *key, uint64_t low, uint64_t high)
+{
+    return { key, low, high, [](const Part &part) { return toNumber(part.*Field); }, [](Part &part, uint64_t number) { assign(part.*Field, number); } };
+}
+
+template<auto Field>
+constexpr PartTunable<FlowSettings> flowTunable(const char *key, uint64_t low, uint64_t high)
+{
+    return partTunable<FlowSettings, Field>(key, low, high);
+}
+
 template<auto Field>
-constexpr FlowTunable flowTunable(const char *key, uint64_t low, uint64_t high)
+constexpr PartTunable<OverloadSettings> overloadTunable(const char *key, uint64_t low, uint64_t high)
 {
-    return { key, low, high, [](const FlowSettings &flows) { return toNumber(flows.*Field); },
-             [](FlowSettings &flows, uint64_t number) { assign(flows.*Field, number); } };
+    return partTunable<OverloadSettings, Field>(key, low, high);
 }
 
-constexpr FlowTunable flowTunables[] = {
+constexpr PartTunable<OverloadSettings> overloadTunables[] = {
+    overloadTunable<&OverloadSettings::maxDelay>("overload_delay_ms", 10, 5000),
+    overloadTunable<&OverloadSettings::confirmationPeriod>("overload_period_ms", 100, minuteMs),
+    overloadTunable<&OverloadSettings::stalledPercent>("overload_stalled_percent", 1, 100),
+    overloadTunable<&OverloadSettings::refusedPercent>("overload_refused_percent", 1, 100),
+    overloadTunable<&OverloadSettings::maxOutPercent>("overload_out_percent", 0, 50),
+    overloadTunable<&OverloadSettings::minReadyPercent>("overload_ready_percent", 50, 100),
+    overloadTunable<&OverloadSettings::agreementDelay>("overload_agreement_ms", 50, 10'000),
+    overloadTunable<&OverloadSettings::reportInterval>("overload_report_ms", 100, 10'000),
+    overloadTunable<&OverloadSettings::minTimeOut>("overload_min_out_ms", 500, 10 * minuteMs),
+    overloadTunable<&OverloadSettings::maxTimeOut>("overload_max_out_ms", 500, 10 * minuteMs),
+    overloadTunable<&OverloadSettings::minTimeIn>("overload_min_in_ms", 500, 10 * minuteMs),
+};
+
+constexpr PartTunable<FlowSettings> flowTunables[] = {
     flowTunable<&FlowSettings::missingTimeout>("absence_ms", 100, minuteMs),
     flowTunable<&FlowSettings::entryExpiryDelay>("entry_lapse_ms", 100, minuteMs),
     flowTunable<&FlowSettings::tokenLifetime>("token_lifetime_ms", 1000, hourMs),
@@ -127,6 +153,24 @@
     flowTunable<&FlowSettings::maxFlows>("max_flows", 1, 1U << 24U),
 };
 
+template<typename Rows, typename Part>
+void readPart(const Rows &rows, JsonFields &fields, Part &part)
+{
+    for (const auto &row : rows) {
+        uint64_t number = row.get(part);
+        fields.number(row.key, row.low, row.high, number);
+        row.set(part, number);
+    }
+}
+
+template<typename Rows, typename Part>
+void writePart(const Rows &rows, const Part &part, nlohmann::json &object)
+{
+    for (const auto &row : rows) {
+        object[row.key] = row.get(part);
+    }
+}
+
 /** What the ranges of single values can't say. */
 void checkTogether(const std::string &group, const NodeSettings &node, JsonFields &part)
 {
@@ -166,18 +210,22 @@
 
 void readFlowTunables(JsonFields &fields, FlowSettings &flows)
 {
-    for (const FlowTunable &row : flowTunables) {
-        uint64_t number = row.get(flows);
-        fields.number(row.key, row.low, row.high, number);
-        row.set(flows, number);
-    }
+    readPart(flowTunables, fields, flows);
 }
 
 void writeFlowTunables(const FlowSettings &flows, nlohmann::json &object)
 {
-    for (const FlowTunable &row : flowTunables) {
-        object[row.key] = row.get(flows);
-    }
+    writePart(flowTunables, flows, object);
+}
+
+void readOverloadTunables(JsonFields &fields, OverloadSettings &overload)
+{
+    readPart(overloadTunables, fields, overload);
+}
+
+void writeOverloadTunables(const OverloadSettings &overload, nlohmann::json &object)
+{
+    writePart(overloadTunables, overload, object);
 }
 
 void writeTunables(const NodeSettings &node, nlohmann::json &object)
--- a/src/apps/tunables.h
+++ b/src/apps/tunables.h
@@ -5,6 +5,7 @@
 #include "core/jsonfields.h"
 #include "flows/flowsettings.h"
 #include "node/node.h"
+#include "rotation/overloaddetector.h"
 
 namespace hornbeam {
 
@@ -18,4 +19,9 @@
 /** Adds them to an object. Thread safe. */
 void writeFlowTunables(const FlowSettings &flows, nlohmann::json &object);
 
+/** Reads the tunables of instances that leave the rotation because they are overloaded. Absent keys keep their defaults. Thread safe. */
+void readOverloadTunables(JsonFields &fields, OverloadSettings &overload);
+/** Adds them to an object. Thread safe. */
+void writeOverloadTunables(const OverloadSettings &overload, nlohmann::json &object);
+
 } // namespace hornbeam
--- a/tests/membershipnet.h
+++ b/tests/membershipnet.h
@@ -22,6 +22,7 @@
         std::unique_ptr<Membership> membership;
         bool isPaused = false;
         bool isStopped = false;
+        Duration delay{ 0 };    // of its link, added to each message from and to it
         uint64_t bytesSent = 0; // sealed datagrams and stream messages, in bytes on the wire
         size_t largestDatagram = 0;
     };
@@ -153,6 +154,7 @@
     ManualClock clock;
     std::vector<std::unique_ptr<Node>> nodes;
     std::function<bool(size_t from, size_t to)> isLost = [](size_t, size_t) { return false; };
+    std::function<void(size_t to, const RotationReport &)> onRotationReport = [](size_t, const RotationReport &) {};
 
 private:
     void create(size_t index)
@@ -181,7 +183,7 @@
         }
         for (size_t to = 0; to < this->nodes.size(); ++to) {
             if (this->idOf(to) == message.peer && !this->isLost(from, to)) {
-                this->queue.push_back(InFlight{ this->clock.now() + networkDelay, from, to, std::move(wire) });
+                this->queue.push_back(InFlight{ this->clock.now() + networkDelay + sender.delay + this->nodes[to]->delay, from, to, std::move(wire) });
                 return;
             }
         }
@@ -211,6 +213,8 @@
     {
         if constexpr (requires { this->at(to).onMessage(message, out); }) {
             this->at(to).onMessage(message, out);
+        } else if constexpr (std::is_same_v<Message, RotationReport>) {
+            this->onRotationReport(to, message);
         }
     }
 
