--- a/src/apps/flowstore.cpp
+++ b/src/apps/flowstore.cpp
@@ -2,6 +2,7 @@
 
 #include "apps/flowstore.h"
 
+#include "apps/overloadrotation.h"
 #include "apps/peerlink.h"
 #include "apps/storereadersettings.h"
 #include "apps/storereadings.h"
@@ -34,13 +35,6 @@
     return store;
 }
 
-SeedSettings makeSeedSettings(const FlowServiceSettings &flows)
-{
-    SeedSettings settings;
-    settings.isFirstStart = flows.isFirstStart;
-    return settings;
-}
-
 // Seeds are known by address only, so member ids are derived from addresses.
 MemberId memberIdFor(const Endpoint &peer)
 {
@@ -72,11 +66,12 @@
               context, Endpoint{ settings.address, settings.peerPort }, peerWorkers, keys, this->counters,
               [this](const PeerMessage &message) { this->onMessage(message); }, [this](MemberId member) { return this->membership.endpointOf(member); })
         , rotation(RotationSettings{}, zoneIdOf(settings.zone))
+        , overload(*settings.flows, this->membership.self(), clock, this->counters, this->logEvent)
         , sharing(makeStoreReaderSettings(*settings.flows).sharing, this->membership, clock, this->counters, observer)
         , client(context, this->counters, makePlatformSettings(settings))
         , seeds(
               this->client, clock, seed + 2, settings.zone, Endpoint{ settings.address, settings.peerPort },
-              [this](const Endpoint &peer) { this->addSeed(peer); }, makeSeedSettings(*settings.flows))
+              [this](const Endpoint &peer) { this->addSeed(peer); }, SeedSettings{ .isFirstStart = settings.flows->isFirstStart })
     {
         for (const uint32_t host : settings.flows->seedHosts) {
             this->addSeed({ host, settings.peerPort });
@@ -108,8 +103,9 @@
 
     //--- Store
 
-    void tick()
+    void tick(const LoadSample &load)
     {
+        this->overload.addSample(load);
         Actions out;
         this->membership.tick(out);
         this->sharing.tick(out);
@@ -237,7 +233,9 @@
         }
         std::visit(
             [this, &out](const auto &typed) {
-                if constexpr (requires { this->membership.onMessage(typed, out); }) {
+                if constexpr (requires { this->overload.onMessage(typed); }) {
+                    this->overload.onMessage(typed);
+                } else if constexpr (requires { this->membership.onMessage(typed, out); }) {
                     this->membership.onMessage(typed, out);
                 } else if constexpr (requires { this->sharing.onMessage(typed, out); }) {
                     this->sharing.onMessage(typed, out);
@@ -280,6 +278,9 @@
             this->logEvent(this->rotation.isOutOfRotation() ? "rotation_left" : "rotation_rejoined", { { "members", members.size() } });
         }
         this->membership.setOwnZoneHealth(this->rotation.isZoneHealthy());
+        Actions out;
+        this->overload.update(this->membership, this->rotation, out);
+        this->link.send(out);
     }
 
     void beginLeave()
@@ -309,7 +310,7 @@
         }
         return text + "hornbeam_members_live " + std::to_string(this->liveMembers) + "\nhornbeam_store_reader "
             + (this->sharing.isReader(StoreResource::Targets) ? "1" : "0") + "\nhornbeam_rotation_aside " + (this->rotation.isOutOfRotation() ? "1" : "0")
-            + "\n";
+            + "\n" + this->overload.gauges();
     }
 
     std::string membersPage() const
@@ -319,7 +320,9 @@
         for (const StoreResource resource : this->readings) {
             calls.push_back(this->watcherState(resource));
         }
-        return membersPageOf(this->membership.self(), members, this->sharing, std::move(calls), this->clock.now());
+        const nlohmann::ordered_json overloadFields{ { "overload", this->overload.describeSelf() },
+                                                     { "overloaded_members", this->overload.describeMembers() } };
+        return membersPageOf(this->membership.self(), members, this->sharing, std::move(calls), overloadFields, this->clock.now());
     }
 
     const Clock &clock;
@@ -329,6 +332,7 @@
     Membership membership;
     PeerLink link;
     RotationPolicy rotation;
+    OverloadRotation overload;
     SharedStoreReader sharing;
     PlatformClient client;
     std::vector<StoreResource> readings; // that the deployment uses
@@ -363,9 +367,9 @@
     this->impl->link.beginReceive();
 }
 
-void FlowStore::tick()
+void FlowStore::tick(const LoadSample &load)
 {
-    this->impl->tick();
+    this->impl->tick(load);
 }
 
 void FlowStore::readNow(StoreResource resource)
@@ -400,7 +404,7 @@
 
 bool FlowStore::isOutOfRotation() const
 {
-    return this->impl->rotation.isOutOfRotation();
+    return this->impl->rotation.isOutOfRotation() || this->impl->overload.isOut();
 }
 
 size_t FlowStore::liveInstances() const
--- a/src/apps/storereadings.cpp
+++ b/src/apps/storereadings.cpp
@@ -45,7 +45,7 @@
 }
 
 std::string membersPageOf(const MemberRecord &self, const std::vector<MemberRecord> &members, const SharedStoreReader &sharing, nlohmann::ordered_json calls,
-                          TimePoint now)
+                          const nlohmann::ordered_json &furtherFields, TimePoint now)
 {
     using Json = nlohmann::ordered_json;
     Json list = Json::array();
@@ -76,6 +76,7 @@
         page["evacuations"]["zones"] = std::move(zones);
     }
     page["store_calls"] = std::move(calls);
+    page.update(furtherFields);
     page["members"] = std::move(list);
     return page.dump(2, ' ', false, Json::error_handler_t::replace) + "\n";
 }
--- a/src/apps/storereadings.h
+++ b/src/apps/storereadings.h
@@ -21,9 +21,9 @@
 
 /** Seconds since the store last confirmed some data; -1 if it has not. Thread safe. */
 std::string ageGauge(std::string_view name, TimePoint confirmedAt, TimePoint now);
-/** The members, the current source of store data, the state of the calls, and the revision and age of each resource, as JSON. Thread safe if nothing changes
- * the arguments meanwhile. */
+/** The members, the current source of store data, the state of the calls, the revision and age of each resource, and `furtherFields`, as JSON. Thread safe if
+ * nothing changes the arguments meanwhile. */
 std::string membersPageOf(const MemberRecord &self, const std::vector<MemberRecord> &members, const SharedStoreReader &sharing, nlohmann::ordered_json calls,
-                          TimePoint now);
+                          const nlohmann::ordered_json &furtherFields, TimePoint now);
 
 } // namespace hornbeam
