Flows: new flows are refused by the expected waiting time of their service

Cause: admission measures answers of more than one packet only, so services all of whose answers fit into one packet had no admission control, and an overload that begins with the first request was not recognised. Change: WaitingAdmission (src/balancing) estimates the waiting time from the outstanding requests beyond the slots and the mean service time. Less preferred routes are refused first, preferred ones only when their own demand exceeds the slots. A flow that its service would refuse goes to another share of the route.

--- a/src/apps/flowdaemon.cpp
+++ b/src/apps/flowdaemon.cpp
@@ -288,7 +288,7 @@
             this->logEvent("paused", { { "for_ms", std::chrono::duration_cast<milliseconds>(now - this->lastTick).count() } });
         }
         this->lastTick = now;
-        this->forwarder.setInstanceCount(this->store.liveInstances());
+        this->forwarder.setInstanceCounts(this->store.liveInstances(), this->store.liveZoneInstances());
         FlowActions actions;
         this->forwarder.tick(actions);
         this->perform(actions);
--- a/src/apps/flowlog.cpp
+++ b/src/apps/flowlog.cpp
@@ -2,12 +2,19 @@
 
 #include "apps/flowpages.h"
 
+#include <cmath>
 #include <nlohmann/json.hpp>
 
 namespace hornbeam {
 
 namespace {
 using Fields = nlohmann::ordered_json;
+
+int64_t toMillis(double seconds)
+{
+    constexpr double perSecond = 1000;
+    return std::llround(seconds * perSecond);
+}
 }
 
 FlowLog::FlowLog(EventLog &log, const Clock &clock) : log(log), clock(clock)
@@ -28,6 +35,9 @@
     fields["target_flows"] = target.openFlows;
     fields["target_phase"] = nameOf(target.phase);
     fields["candidates"] = inputs.candidates;
+    if (inputs.selectedService != target.record.service) {
+        fields["selected_service"] = inputs.selectedService; // had no capacity
+    }
     fields["opening"] = state.openings;
     this->log.add(event, fields);
 }
@@ -61,6 +71,11 @@
                     { "outstanding_requests", target.outstandingRequests },
                     { "congestion", verdict.congestion },
                     { "limit", verdict.limit },
+                    { "expected_waiting_ms", toMillis(verdict.waiting.waitingSeconds) },
+                    { "waiting_limit_ms", toMillis(verdict.waiting.limitSeconds) },
+                    { "service_outstanding", verdict.waiting.outstanding },
+                    { "service_slots", verdict.waiting.slots },
+                    { "demand", verdict.waiting.demand },
                     { "measured_age_ms", this->ageMillis(target.congestionMeasuredAt) } });
 }
 
--- a/src/apps/flowpages.cpp
+++ b/src/apps/flowpages.cpp
@@ -45,6 +45,14 @@
         text += gauge("flow_targets{phase=\"" + std::string(nameOf(static_cast<TargetPhase>(i))) + "\"}", static_cast<double>(phases.at(i)));
     }
     text += gauge("flow_targets_silent", static_cast<double>(silent));
+    for (const auto &[service, state] : forwarder.serviceStates()) {
+        const std::string label = "{service=" + Json(service).dump(-1, ' ', false, Json::error_handler_t::replace) + "}";
+        text += gauge("flow_service_waiting_seconds" + label, state.waitingSeconds);
+        text += gauge("flow_service_time_seconds" + label, state.serviceSeconds);
+        text += gauge("flow_service_outstanding" + label, state.outstanding);
+        text += gauge("flow_service_slots" + label, state.slots);
+        text += gauge("flow_service_refused_share" + label, state.refusedShare);
+    }
     return text;
 }
 
--- a/src/apps/flowstore.cpp
+++ b/src/apps/flowstore.cpp
@@ -245,6 +245,8 @@
         this->updateSeeds();
         const std::vector<MemberRecord> members = this->membership.members();
         this->liveMembers = std::count_if(members.begin(), members.end(), [](const MemberRecord &member) { return isLive(member.state); });
+        this->liveZoneMembers = std::count_if(
+            members.begin(), members.end(), [this](const MemberRecord &member) { return isLive(member.state) && member.zone == this->membership.self().zone; });
         if (this->rotation.update(members, this->membership.zoneContacts(), now)) {
             this->logEvent(this->rotation.isOutOfRotation() ? "rotation_left" : "rotation_rejoined", { { "members", members.size() } });
         }
@@ -317,6 +319,7 @@
     std::array<bool, static_cast<size_t>(StoreResource::Count)> wasOutdated{ true, true };
     std::set<std::string> unknownKinds; // logged
     size_t liveMembers = 1;             // of all zones, including this instance
+    size_t liveZoneMembers = 1;         // of the own zone, including this instance
     TimePoint nextMemberUpdate;
 };
 
@@ -385,6 +388,11 @@
     return this->impl->liveMembers;
 }
 
+size_t FlowStore::liveZoneInstances() const
+{
+    return this->impl->liveZoneMembers;
+}
+
 std::string FlowStore::metricsText() const
 {
     return this->impl->metricsText();
--- a/src/apps/flowstore.h
+++ b/src/apps/flowstore.h
@@ -52,6 +52,8 @@
     bool isOutOfRotation() const;
     /** Number of live instances in all zones, including this one. */
     size_t liveInstances() const;
+    /** Number of live instances in the own zone, including this one. */
+    size_t liveZoneInstances() const;
     /** Counters and gauges in the Prometheus text format. */
     std::string metricsText() const;
     /** The members, the current source of store data and the age of that data, as JSON. */
--- a/src/apps/tunables.cpp
+++ b/src/apps/tunables.cpp
@@ -96,6 +96,13 @@
              [](FlowSettings &flows, uint64_t number) { assign(flows.*Field, number); } };
 }
 
+template<auto Part, auto Field>
+constexpr FlowTunable flowTunable(const char *key, uint64_t low, uint64_t high)
+{
+    return { key, low, high, [](const FlowSettings &flows) { return toNumber(flows.*Part.*Field); },
+             [](FlowSettings &flows, uint64_t number) { assign(flows.*Part.*Field, number); } };
+}
+
 constexpr FlowTunable flowTunables[] = {
     flowTunable<&FlowSettings::missingTimeout>("absence_ms", 100, minuteMs),
     flowTunable<&FlowSettings::entryExpiryDelay>("entry_lapse_ms", 100, minuteMs),
@@ -124,6 +131,14 @@
     flowTunable<&FlowSettings::overloadLimitPercent>("overload_limit_percent", 1, 1'000'000),
     flowTunable<&FlowSettings::overloadRejectedPercent>("overload_rejected_percent", 1, 100),
     flowTunable<&FlowSettings::minAnswersForAdmission>("answers_to_admit", 1, 1'000'000),
+    flowTunable<&FlowSettings::waiting, &WaitingSettings::limitPercent>("waiting_limit_percent", 0, 1'000),
+    flowTunable<&FlowSettings::waiting, &WaitingSettings::overloadLimitPercent>("waiting_overload_percent", 0, 100),
+    flowTunable<&FlowSettings::waiting, &WaitingSettings::preferredDemandPercent>("preferred_demand_percent", 0, 1'000),
+    flowTunable<&FlowSettings::waiting, &WaitingSettings::targetQueue>("target_queue", 1, 10'000),
+    flowTunable<&FlowSettings::waiting, &WaitingSettings::minAnswers>("answers_to_expect", 1, 1'000'000),
+    flowTunable<&FlowSettings::waiting, &WaitingSettings::overflowPercent>("share_overflow_percent", 0, 100),
+    flowTunable<&FlowSettings::waiting, &WaitingSettings::window>("waiting_window_ms", 20, 10'000),
+    flowTunable<&FlowSettings::waiting, &WaitingSettings::ackDelay>("ack_delay_ms", 0, 1'000),
     flowTunable<&FlowSettings::maxFlows>("max_flows", 1, 1U << 24U),
 };
 
--- a/src/flows/admission.h
+++ b/src/flows/admission.h
@@ -3,6 +3,7 @@
 // Admission control. Open flows can't be refused requests, but the flows that callers open when all others are busy or when a target has shed their request
 // can. Under overload, these would fill the targets' queues until every answer is late.
 
+#include "balancing/waitingadmission.h"
 #include "core/clock.h"
 #include "flows/flowsettings.h"
 #include "flows/routetable.h"
@@ -25,8 +26,9 @@
 struct AdmissionVerdict
 {
     bool isAdmitted = true;
-    double congestion = 0; // of the target
-    double limit = 0;      // congestion above which the route's new flows are rejected; 0 if there is none
+    double congestion = 0;  // of the target
+    double limit = 0;       // congestion above which the route's new flows are rejected; 0 if there is none
+    WaitingVerdict waiting; // of the service
 };
 
 /** Updates Target::congestion. Not thread safe: owned by one event loop. */
--- a/src/flows/flowcounters.h
+++ b/src/flows/flowcounters.h
@@ -46,6 +46,8 @@
     TargetsSilenced,  // targets marked silent
     TargetsRecovered, // silent targets back in use
     SendsRefused,     // datagrams rejected by the kernel
+    RefusedByWaiting, // new flows refused because of the expected waiting time of their service
+    PlacedOtherShare, // flows placed on another service of their route because the selected one had no capacity
     Count,
 };
 
--- a/src/flows/flowforwarder.cpp
+++ b/src/flows/flowforwarder.cpp
@@ -90,8 +90,9 @@
     this->tracker.assign(state, result.target);
     this->tracker.addOpening(state, now);
     this->counters.add(previousTarget == nullptr ? FlowCounter::FlowsPlaced : FlowCounter::FlowsMoved);
+    this->counters.add(FlowCounter::PlacedOtherShare, result.service == result.selectedService ? 0 : 1);
     this->counters.add(FlowCounter::PlacedOtherZone, result.target->record.zone == this->ownZone ? 0 : 1);
-    this->observer.onPlaced(state, route, { this->routes.version(), this->configurationConfirmed, result.candidates });
+    this->observer.onPlaced(state, route, { this->routes.version(), this->configurationConfirmed, result.candidates, result.selectedService });
     return this->forwardTo(result.target, result.target->token);
 }
 
@@ -130,7 +131,9 @@
     }
     if (route != nullptr && observation.answerTime > Duration{ 0 }) {
         this->answers.add(packet.flow.service, *target, observation.answerTime);
-        this->placement.admissionControl().addAnswer(*route, *target, { observation.answerTime, observation.answerBytes }, now);
+    }
+    if (route != nullptr) {
+        this->placement.onObservation(*route, *target, observation, now);
     }
     if (packet.isReset || packet.isClosing) {
         return this->forwardTo(target, packet.token);
@@ -178,6 +181,7 @@
 PacketDecision FlowForwarder::rejectOverloaded(const FlowPacket &packet, const Route &route, const Target &target, const AdmissionVerdict &verdict)
 {
     this->counters.add(ResetReason::Overloaded);
+    this->counters.add(FlowCounter::RefusedByWaiting, verdict.waiting.isAdmitted ? 0 : 1);
     PacketDecision decision;
     decision.kind = PacketDecision::Kind::Reset;
     decision.reset = { packet.flow, packet.sequence };
@@ -204,7 +208,7 @@
 {
     const RouteTable::Update update = this->routes.update(configuration);
     if (update == RouteTable::Update::Applied) {
-        this->placement.admissionControl().retainRoutes(this->routes);
+        this->placement.onRoutes(this->routes);
     }
     return update;
 }
@@ -330,9 +334,10 @@
 
 //--- Timers
 
-void FlowForwarder::setInstanceCount(size_t count)
+void FlowForwarder::setInstanceCounts(size_t allZones, size_t ownZone)
 {
-    this->instanceCount = count;
+    this->instanceCount = allZones;
+    this->placement.setInstanceCounts(allZones, ownZone);
 }
 
 void FlowForwarder::tick(FlowActions &out)
@@ -344,6 +349,7 @@
         }
     }
     this->tracker.expireOutstanding(now - this->settings.outstandingTimeout);
+    this->placement.tick(now);
     const auto answerTimeout = [this](const FlowKey &flow) {
         return std::max(this->settings.minAnswerTimeout, this->settings.answerTimeoutFactor * this->answers.meanOf(flow.service));
     };
@@ -427,6 +433,11 @@
     return this->configurationConfirmed;
 }
 
+std::map<std::string, WaitingAdmission::ServiceState> FlowForwarder::serviceStates() const
+{
+    return this->placement.serviceStates(this->clock.now());
+}
+
 bool FlowForwarder::isConfigurationFresh() const
 {
     return this->clock.now() - this->configurationConfirmed < this->settings.freshnessLifetime;
--- a/src/flows/flowforwarder.h
+++ b/src/flows/flowforwarder.h
@@ -51,9 +51,10 @@
 /** What the placement of a flow was based on. */
 struct PlacementInputs
 {
-    uint64_t version = 0;  // of the active configuration
-    TimePoint confirmedAt; // when the store last confirmed that version; TimePoint{} if it has not done so yet
-    size_t candidates = 0; // listed targets of the service
+    uint64_t version = 0;        // of the active configuration
+    TimePoint confirmedAt;       // when the store last confirmed that version; TimePoint{} if it has not done so yet
+    size_t candidates = 0;       // listed targets of the service
+    std::string selectedService; // by weight; the flow is on another one if that had no capacity
 };
 
 /** Receives decisions and state changes of the forwarder. Must not call back into the forwarder. */
@@ -92,8 +93,8 @@
     void onTargetChanges(const std::vector<TargetRecord> &updated, const std::vector<std::string> &removed, TimePoint requestedAt, FlowActions &out);
     /** Processes the result of a connection check. */
     void endCheck(const TargetPtr &target, CheckOutcome outcome, FlowActions &out);
-    /** Sets the number of live instances in all zones, including this one. */
-    void setInstanceCount(size_t count);
+    /** Sets the number of live instances, including this one, in all zones and in the own zone. */
+    void setInstanceCounts(size_t allZones, size_t ownZone);
     /** Detects unanswered packets, starts due checks and expires old flows. Call about every 20 ms. */
     void tick(FlowActions &out);
 
@@ -110,6 +111,8 @@
     std::vector<FlowState> recentFlows(size_t limit) const;
     /** When the store last confirmed the active configuration; TimePoint{} if it has not done so yet. */
     TimePoint configurationConfirmedAt() const;
+    /** Load and expected waiting time of the services. */
+    std::map<std::string, WaitingAdmission::ServiceState> serviceStates() const;
 
 private:
     PacketDecision handleOpening(const FlowPacket &packet, FlowActions &out);
--- a/src/flows/flowsettings.h
+++ b/src/flows/flowsettings.h
@@ -2,6 +2,7 @@
 
 // Settings of flow forwarding.
 
+#include "balancing/waitingsettings.h"
 #include "core/clock.h"
 
 #include <cstddef>
@@ -48,6 +49,9 @@
     uint32_t overloadRejectedPercent = 50; // share of rejected flows from which overloadLimitPercent applies
     uint32_t minAnswersForAdmission = 64;  // answers of a route before its new flows can be rejected
 
+    // admission of new flows by expected waiting time, for routes whose answers fit into one packet
+    WaitingSettings waiting;
+
     // flow table
     Duration closedFlowRetention = seconds(2); // so that retransmissions of its last packets are still matched to the flow
     size_t maxFlows = 32768;                   // less than 1 KB each (bench-forward); packets of evicted flows are still forwarded by token
--- a/src/flows/flowtracker.cpp
+++ b/src/flows/flowtracker.cpp
@@ -83,6 +83,14 @@
     this->flowsByLastSeen.splice(this->flowsByLastSeen.end(), this->flowsByLastSeen, this->flows.at(state.flow));
     state.lastSeen = now;
     FlowObservation observation;
+    if (packet.contentBytes > 0) {
+        observation.acknowledgement = Acknowledgement::WithRequest;
+    } else if (packet.isClosing || packet.isReset) {
+        observation.acknowledgement = Acknowledgement::WithClosing;
+    }
+    if (!state.isOpen && state.openings == 1) {
+        observation.roundTrip = now - state.firstSeen;
+    }
     if (!state.isOpen || isAfter(packet.acknowledged, state.acknowledged)) {
         if (state.unansweredSince != TimePoint{} && state.repeats == 0) {
             observation.answerTime = now - state.unansweredSince;
@@ -102,6 +110,7 @@
         state.contentEnd = end;
         if (state.unansweredSince == TimePoint{}) {
             state.unansweredSince = now;
+            observation.isRequest = true;
             this->beginOutstanding(state, now);
             this->requests.push_back({ state.flow, now });
         }
--- a/src/flows/flowtracker.h
+++ b/src/flows/flowtracker.h
@@ -2,6 +2,7 @@
 
 // State of recent flows, derived from the callers' packets only. This is a cache: packets of evicted flows are still forwarded by token.
 
+#include "balancing/servicetimes.h"
 #include "core/clock.h"
 #include "flows/flowpacket.h"
 #include "flows/flowsettings.h"
@@ -43,6 +44,9 @@
     bool isRetransmission = false; // payload was retransmitted without an answer in between
     Duration answerTime{ 0 };      // of a request that was not retransmitted; 0 if this packet acknowledges none
     uint32_t answerBytes = 0;      // of the answer, as far as this packet acknowledges it
+    Duration roundTrip{ 0 };       // from the flow's only opening packet to this one; 0 if this is not the first packet after it
+    bool isRequest = false;        // the packet begins a request
+    Acknowledgement acknowledgement = Acknowledgement::Alone;
 };
 
 /** Updates Target::openFlows and Target::outstandingRequests. Not thread safe: owned by one event loop. */
--- a/src/flows/placement.cpp
+++ b/src/flows/placement.cpp
@@ -1,9 +1,17 @@
 #include "flows/placement.h"
 
+#include <algorithm>
 #include <array>
 
 namespace hornbeam {
 
+namespace {
+RouteDemand demandOf(const Route &route)
+{
+    return { route.address, route.priority, route.latencyTarget };
+}
+}
+
 std::string_view nameOf(PlacementOutcome outcome)
 {
     constexpr std::array<std::string_view, static_cast<size_t>(PlacementOutcome::Count)> names{ "placed", "no_target", "restricted", "overloaded" };
@@ -11,7 +19,7 @@
 }
 
 FlowPlacement::FlowPlacement(const FlowSettings &settings, const TargetDirectory &directory, ZoneId ownZone, uint64_t seed)
-    : directory(directory), chooser(settings, ownZone, seed), admission(settings)
+    : directory(directory), ownZone(ownZone), chooser(settings, ownZone, seed), admission(settings), waiting(settings.waiting)
 {
 }
 
@@ -25,6 +33,22 @@
     Placement placement;
     const std::string *service = RouteTable::serviceOf(route, request.flow);
     placement.service = service == nullptr ? std::string() : *service;
+    placement.selectedService = placement.service;
+    this->choose(placement, request, now);
+    if (placement.target != nullptr && request.previousTarget == nullptr && !request.isRepeated) { // a repeated opening packet has waited for long enough
+        this->admit(placement, route, now);
+        const bool isRefused = placement.outcome == PlacementOutcome::Overloaded && !this->placeOnOtherShare(placement, route, request, now);
+        this->waiting.record(demandOf(route), placement.service, isRefused, now);
+    }
+    if (placement.outcome == PlacementOutcome::Placed) {
+        this->recordOpening(*placement.target, now);
+    }
+    return placement;
+}
+
+// Sets the target of the placement's service and the outcome.
+void FlowPlacement::choose(Placement &placement, const PlacementRequest &request, TimePoint now)
+{
     const std::vector<TargetPtr> &candidates = this->directory.targetsOf(placement.service);
     placement.candidates = candidates.size();
     const CandidateFilter filter{ this->rules, now };
@@ -32,19 +56,41 @@
     if (placement.target == nullptr && request.previousTarget != nullptr) {
         placement.target = this->chooser.choose(candidates, nullptr, filter);
     }
-    if (placement.target == nullptr) {
-        placement.restriction = filter.restriction();
-        placement.outcome = placement.restriction == CandidateStatus::Eligible ? PlacementOutcome::NoTarget : PlacementOutcome::Restricted;
-        return placement;
-    }
-    if (request.previousTarget == nullptr && !request.isRepeated) { // a repeated opening packet has waited for long enough
-        placement.verdict = this->admission.admit(route, placement.service, *placement.target, now);
+    if (placement.target != nullptr) {
+        placement.outcome = PlacementOutcome::Placed;
+        return;
     }
-    placement.outcome = placement.verdict.isAdmitted ? PlacementOutcome::Placed : PlacementOutcome::Overloaded;
-    if (placement.outcome == PlacementOutcome::Placed) {
-        this->recordOpening(*placement.target, now);
+    placement.restriction = filter.restriction();
+    placement.outcome = placement.restriction == CandidateStatus::Eligible ? PlacementOutcome::NoTarget : PlacementOutcome::Restricted;
+}
+
+void FlowPlacement::admit(Placement &placement, const Route &route, TimePoint now)
+{
+    placement.verdict = this->admission.admit(route, placement.service, *placement.target, now);
+    placement.verdict.waiting = this->waiting.check(demandOf(route), placement.service, now);
+    const bool isAdmitted = placement.verdict.isAdmitted && placement.verdict.waiting.isAdmitted;
+    placement.outcome = isAdmitted ? PlacementOutcome::Placed : PlacementOutcome::Overloaded;
+}
+
+bool FlowPlacement::placeOnOtherShare(Placement &placement, const Route &route, const PlacementRequest &request, TimePoint now)
+{
+    for (const RouteShare &share : route.shares) {
+        if (share.weight == 0 || share.service == placement.selectedService || !this->waiting.hasRoom(demandOf(route), share.service, now)) {
+            continue;
+        }
+        Placement other;
+        other.service = share.service;
+        other.selectedService = placement.selectedService;
+        this->choose(other, request, now);
+        if (other.outcome == PlacementOutcome::Placed) {
+            this->admit(other, route, now);
+        }
+        if (other.outcome == PlacementOutcome::Placed) {
+            placement = other;
+            return true;
+        }
     }
-    return placement;
+    return false;
 }
 
 void FlowPlacement::recordOpening(const Target &target, TimePoint now)
@@ -59,9 +105,74 @@
     return CandidateFilter{ this->rules, now }.statusOf(target);
 }
 
-AdmissionControl &FlowPlacement::admissionControl()
+void FlowPlacement::onRoutes(const RouteTable &routes)
+{
+    this->admission.retainRoutes(routes);
+    this->waiting.retainRoutes([&routes](const Endpoint &address) { return routes.find(address) != nullptr; });
+    this->services.clear();
+    for (const Route &route : routes.all()) {
+        for (const RouteShare &share : route.shares) {
+            this->services.insert(share.service);
+        }
+    }
+}
+
+void FlowPlacement::onObservation(const Route &route, Target &target, const FlowObservation &observation, TimePoint now)
+{
+    const std::string &service = target.record.service;
+    if (observation.roundTrip > Duration{ 0 }) {
+        this->waiting.addRoundTrip(route.address, service, observation.roundTrip, now);
+    }
+    if (observation.answerTime > Duration{ 0 }) {
+        this->admission.addAnswer(route, target, { observation.answerTime, observation.answerBytes }, now);
+        const bool isShort = observation.answerBytes <= maxPacketContent;
+        this->waiting.addAnswer(route.address, service, { observation.answerTime, observation.answerBytes, isShort, observation.acknowledgement }, now);
+    }
+    if (observation.isRequest) {
+        this->waiting.addRequest(demandOf(route), service, now);
+    }
+}
+
+void FlowPlacement::setInstanceCounts(size_t allZones, size_t ownZone)
+{
+    this->instances = std::max<size_t>(1, allZones);
+    this->zoneInstances = std::max<size_t>(1, ownZone);
+}
+
+void FlowPlacement::tick(TimePoint now)
+{
+    const CandidateFilter filter{ this->rules, now };
+    for (const std::string &service : this->services) {
+        this->waiting.update(service, this->occupancyOf(service, filter), now);
+    }
+}
+
+// Assumes that other zones send as many requests to the targets of this zone as this one to theirs. A zone with few targets counts on all targets, because
+// its flows go to other zones.
+ServiceOccupancy FlowPlacement::occupancyOf(const std::string &service, const CandidateFilter &filter) const
+{
+    ServiceOccupancy occupancy;
+    double slots = 0;
+    double zoneSlots = 0;
+    size_t targets = 0;
+    for (const TargetPtr &target : this->directory.targetsOf(service)) {
+        const bool isUsable = target->phase == TargetPhase::Ready && !target->isSilent() && filter.statusOf(*target) != CandidateStatus::Evacuated;
+        if (!isUsable) {
+            continue;
+        }
+        occupancy.outstanding += target->outstandingRequests;
+        slots += target->record.slots;
+        zoneSlots += target->record.zone == this->ownZone ? target->record.slots : 0;
+        ++targets;
+    }
+    occupancy.slots = std::max(slots / static_cast<double>(this->instances), zoneSlots / static_cast<double>(this->zoneInstances));
+    occupancy.slotsPerTarget = targets == 0 ? 1 : slots / static_cast<double>(targets);
+    return occupancy;
+}
+
+std::map<std::string, WaitingAdmission::ServiceState> FlowPlacement::serviceStates(TimePoint now) const
 {
-    return this->admission;
+    return this->waiting.states(now);
 }
 
 } // namespace hornbeam
--- a/src/flows/placement.h
+++ b/src/flows/placement.h
@@ -1,14 +1,19 @@
 #pragma once
 
-// Selects the target of a new flow: the route's service, the targets that may be given a flow, the least loaded one among them, and admission control.
+// Selects the target of a new flow: the route's service, the targets that may be given a flow, the least loaded one among them, and admission control by
+// congestion and by expected waiting time. A flow that its service would refuse goes to another share of the route that has room.
 
+#include "balancing/waitingadmission.h"
 #include "core/clock.h"
 #include "flows/admission.h"
 #include "flows/flowsettings.h"
+#include "flows/flowtracker.h"
 #include "flows/routetable.h"
 #include "flows/targetchooser.h"
 #include "flows/targetdirectory.h"
 
+#include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -36,9 +41,10 @@
 struct Placement
 {
     PlacementOutcome outcome = PlacementOutcome::NoTarget;
-    TargetPtr target;      // also set for Overloaded
-    std::string service;   // empty if no share of the route has a weight
-    size_t candidates = 0; // listed and missing targets of the service
+    TargetPtr target;            // also set for Overloaded
+    std::string service;         // empty if no share of the route has a weight
+    std::string selectedService; // whose weight selected the flow; differs from `service` if that one had no capacity
+    size_t candidates = 0;       // listed and missing targets of the service
     AdmissionVerdict verdict;
     CandidateStatus restriction = CandidateStatus::Eligible; // for Restricted: of one of the excluded targets
 };
@@ -59,13 +65,32 @@
     /** Why the rules exclude a target from new flows; Eligible if they don't. */
     CandidateStatus statusOf(const Target &target, TimePoint now) const;
 
-    AdmissionControl &admissionControl();
+    /** Applies the routes in force. */
+    void onRoutes(const RouteTable &routes);
+    /** Records what a packet of an open flow revealed. */
+    void onObservation(const Route &route, Target &target, const FlowObservation &observation, TimePoint now);
+    /** Sets the number of live instances, including this one, in all zones and in the own zone. */
+    void setInstanceCounts(size_t allZones, size_t ownZone);
+    /** Updates the load of all services. Call it about every 20 ms. */
+    void tick(TimePoint now);
+    /** Load and expected waiting time of the services. */
+    std::map<std::string, WaitingAdmission::ServiceState> serviceStates(TimePoint now) const;
 
 private:
+    void choose(Placement &placement, const PlacementRequest &request, TimePoint now);
+    void admit(Placement &placement, const Route &route, TimePoint now);
+    bool placeOnOtherShare(Placement &placement, const Route &route, const PlacementRequest &request, TimePoint now);
+    ServiceOccupancy occupancyOf(const std::string &service, const CandidateFilter &filter) const;
+
     const TargetDirectory &directory;
+    const ZoneId ownZone;
     TargetChooser chooser;
     AdmissionControl admission;
+    WaitingAdmission waiting;
     std::vector<PlacementRule *> rules;
+    std::set<std::string> services; // of the routes in force
+    size_t instances = 1;           // in all zones
+    size_t zoneInstances = 1;
 };
 
 } // namespace hornbeam
--- a/tests/flowload_test.cpp
+++ b/tests/flowload_test.cpp
@@ -30,7 +30,7 @@
     fixture.forwarder.onConfiguration(configuration, fixture.actions);
     fixture.forwarder.onConfigurationConfirmed(fixture.clock.now());
     fixture.list({ makeTarget("b1"), makeTarget("b2") });
-    fixture.forwarder.setInstanceCount(instances);
+    fixture.forwarder.setInstanceCounts(instances, instances);
 }
 
 }
--- /dev/null
+++ b/tests/waiting_test.cpp
@@ -0,0 +1,266 @@
+// Tests of admission by expected waiting time. Each test name begins with the load that it covers.
+
+#include "flowfakes.h"
+#include "servicefake.h"
+
+#include <catch2/catch.hpp>
+
+using namespace hornbeam;
+
+namespace {
+
+constexpr size_t instances = 29; // of a zone
+constexpr size_t targets = 40;
+constexpr size_t pooled = 0;
+constexpr size_t preferred = 1;
+
+/** Two routes of a zone, which load the slots of its targets to `load`: 60% of it by a less preferred one with pooled flows. */
+ServiceFake makeService(double load, WaitingSettings settings = {})
+{
+    constexpr double perSecond = targets * ServiceFake::slots / 0.06;
+    FakeRoute many;
+    many.demand = { { 1, 1 }, 2, milliseconds(400) };
+    many.rate = 0.6 * load * perSecond;
+    many.service = 0.06;
+    many.isPooled = true;
+    FakeRoute few = many;
+    few.demand = { { 2, 1 }, 1, milliseconds(400) };
+    few.rate = 0.4 * load * perSecond;
+    few.isPooled = false;
+    return { settings, instances, targets, { many, few } };
+}
+
+double goodput(const ServiceFake &service)
+{
+    return static_cast<double>(service.routes[pooled].inTime + service.routes[preferred].inTime);
+}
+
+double refusalShare(const FakeRoute &route)
+{
+    return static_cast<double>(route.refusals) / static_cast<double>(route.requests);
+}
+
+WaitingSettings withoutVerdicts()
+{
+    WaitingSettings settings;
+    settings.limitPercent = 0;
+    return settings;
+}
+
+}
+
+TEST_CASE("111% of the slots with two priorities: the less preferred kind is refused, and the preferred one is answered in time")
+{
+    ServiceFake service = makeService(1.11);
+    service.run(3);
+    service.run(15);
+    ServiceFake unlimited = makeService(1.11, withoutVerdicts());
+    unlimited.run(3);
+    unlimited.run(15);
+    CHECK(goodput(service) > goodput(unlimited));
+    CHECK(service.routes[preferred].inTimeShare() > 0.85);
+    CHECK(service.routes[preferred].inTimeShare() > unlimited.routes[preferred].inTimeShare() + 0.15);
+    CHECK(service.routes[pooled].inTimeShare() > 0.7);
+    CHECK(service.routes[preferred].refusals == 0);
+    CHECK(service.routes[pooled].refusals > 0);
+}
+
+TEST_CASE("burst of the preferred kind: it is not refused while its own demand fits into the slots")
+{
+    ServiceFake service = makeService(0.8);
+    service.run(5);
+    service.routes[preferred].rate *= 2.2;
+    service.run(4);
+    CHECK(refusalShare(service.routes[preferred]) < 0.02); // an instance can't measure the demand exactly
+    CHECK(service.routes[pooled].refusals > 0);
+    CHECK(service.routes[preferred].inTimeShare() > 0.8);
+    SECTION("after the burst, nothing is refused within 2 s")
+    {
+        service.routes[preferred].rate /= 2.2;
+        service.run(2);
+        service.run(3);
+        CHECK(refusalShare(service.routes[pooled]) < 0.01);
+    }
+    SECTION("it is refused when it exceeds the slots alone")
+    {
+        service.routes[preferred].rate *= 3;
+        service.run(4);
+        CHECK(service.routes[preferred].refusals > 0);
+    }
+}
+
+TEST_CASE("overload from the first request: it is recognised without a measurement of answers without a queue")
+{
+    ServiceFake service = makeService(1.5);
+    service.run(1);
+    CHECK(service.routes[pooled].refusals > 0);
+    service.run(5);
+    ServiceFake unlimited = makeService(1.5, withoutVerdicts());
+    unlimited.run(1);
+    unlimited.run(5);
+    CHECK(refusalShare(service.routes[pooled]) > 0.3);
+    CHECK(goodput(service) > 1.1 * goodput(unlimited));
+}
+
+TEST_CASE("97% of the slots: few are refused, and goodput is that without verdicts")
+{
+    ServiceFake service = makeService(0.97);
+    service.run(3);
+    service.run(20);
+    ServiceFake unlimited = makeService(0.97, withoutVerdicts());
+    unlimited.run(3);
+    unlimited.run(20);
+    CHECK(refusalShare(service.routes[pooled]) < 0.15);
+    CHECK(service.routes[preferred].refusals == 0);
+    CHECK(goodput(service) > 0.98 * goodput(unlimited));
+}
+
+TEST_CASE("below full slots: nothing is refused")
+{
+    ServiceFake service = makeService(0.6);
+    service.run(20);
+    CHECK(service.routes[pooled].refusals == 0);
+    SECTION("neither in a short peak that fits into the queues")
+    {
+        service.routes[pooled].rate *= 3;
+        service.run(0.06);
+        service.routes[pooled].rate /= 3;
+        service.run(2);
+        CHECK(service.routes[pooled].refusals == 0);
+    }
+}
+
+TEST_CASE("an instance that sees a thirtieth of the flows: its estimate is that of the zone on average")
+{
+    ServiceFake service = makeService(1.3, withoutVerdicts());
+    service.run(10);
+    double outstanding = 0;
+    for (const WaitingAdmission &admission : service.admissions) {
+        outstanding += admission.states(service.now()).at("main").outstanding;
+    }
+    CHECK(outstanding == Approx(service.held()).epsilon(0.15));
+}
+
+TEST_CASE("rejected requests: errors that are small and fast don't lower the service time")
+{
+    const WaitingSettings settings;
+    ServiceTimes times(settings);
+    times.addRoundTrip(milliseconds(6));
+    const auto answer = [&times](int64_t millis, uint32_t bytes, bool isQueued) {
+        return times.addAnswer({ milliseconds(millis), bytes, true, Acknowledgement::Alone }, isQueued);
+    };
+    for (int i = 0; i < 64; ++i) {
+        answer(96 + (i % 2) * 20, 600 + (i % 5) * 100, false); // 50 or 70 ms, and 46 ms on the network and until the acknowledgement
+    }
+    REQUIRE(times.serviceSeconds() == Approx(0.06).epsilon(0.05));
+    SECTION("at most one answer of five is real")
+    {
+        int rejections = 0;
+        for (int i = 0; i < 640; ++i) {
+            rejections += i % 5 != 0 && !answer(46, 150, true) ? 1 : 0;
+            answer(280, 700, true);
+        }
+        CHECK(rejections == 512);
+        CHECK(times.serviceSeconds() == Approx(0.06).epsilon(0.1));
+    }
+    SECTION("answers that are small, but as slow as the others, count")
+    {
+        CHECK(answer(106, 150, true));
+    }
+    SECTION("answers of callers that don't delay acknowledgements are not taken for faster than they are")
+    {
+        ServiceTimes undelayed(settings);
+        undelayed.addRoundTrip(milliseconds(6));
+        for (int i = 0; i < 640; ++i) {
+            undelayed.addAnswer({ milliseconds(6 + i % 32 * 4), 700, true, Acknowledgement::Alone }, false);
+        }
+        CHECK(undelayed.serviceSeconds() == Approx(0.062 - 0.004).epsilon(0.15));
+    }
+}
+
+namespace {
+
+/** An instance alone in its zone, with one target of each of two services of 2 slots, and a route with answers of one packet. */
+struct SharesFixture : ForwarderFixture
+{
+    explicit SharesFixture(uint32_t otherWeight, const FlowSettings &settings = {}) : ForwarderFixture(settings)
+    {
+        RouteConfiguration configuration = makeConfiguration(1);
+        configuration.routes.at(0).latencyTarget = milliseconds(400);
+        configuration.routes.at(0).shares = { { "booking", 1'000'000 }, { "spare", otherWeight } };
+        this->forwarder.onConfiguration(configuration, this->actions);
+        this->forwarder.onConfigurationConfirmed(this->clock.now());
+        this->list({ makeTarget("b1"), makeTarget("s1", localZone, "spare") });
+        for (uint32_t round = 0; round < 40; ++round) {
+            const uint16_t port = 1000 + round;
+            const PacketDecision opened = this->establish(port);
+            this->exchange(port, opened.token, 0, milliseconds(100));
+            this->forwarder.tick(this->actions);
+        }
+    }
+    /** Opens `count` flows with a request that is not answered. */
+    void load(uint16_t count)
+    {
+        for (uint16_t port = 1; port <= count; ++port) {
+            const PacketDecision opened = this->open(port);
+            this->send(port, opened.token, 1001, 5000, 100);
+        }
+        this->run(milliseconds(500));
+    }
+};
+
+}
+
+TEST_CASE("overload of one service of a route: new flows go to the other one if that has room")
+{
+    SECTION("a share with a weight")
+    {
+        SharesFixture fixture(1);
+        REQUIRE(fixture.open(500).target->record.service == "booking");
+        fixture.load(9);
+        const PacketDecision decision = fixture.open(501);
+        REQUIRE(decision.kind == PacketDecision::Kind::Forward);
+        CHECK(decision.target->record.service == "spare");
+        CHECK(fixture.forwarder.flowCounters().value(FlowCounter::PlacedOtherShare) >= 1);
+        CHECK(fixture.resets(ResetReason::Overloaded) == 0);
+    }
+    SECTION("never to a share of weight 0: the flow is refused, with the values that decided")
+    {
+        SharesFixture fixture(0);
+        fixture.load(9);
+        CHECK(fixture.open(501).kind == PacketDecision::Kind::Reset);
+        CHECK(fixture.forwarder.flowCounters().value(FlowCounter::RefusedByWaiting) >= 1);
+        REQUIRE_FALSE(fixture.observer.rejections.empty());
+        const WaitingVerdict &verdict = fixture.observer.rejections.back().waiting;
+        CHECK(verdict.waitingSeconds > verdict.limitSeconds);
+        CHECK(verdict.outstanding > verdict.slots);
+    }
+    SECTION("switched off by settings")
+    {
+        FlowSettings settings;
+        settings.waiting.overflowPercent = 0;
+        SharesFixture fixture(1, settings);
+        fixture.load(9);
+        CHECK(fixture.open(501).kind == PacketDecision::Kind::Reset);
+    }
+    SECTION("nothing is refused or moved while the slots are not full")
+    {
+        SharesFixture fixture(1);
+        fixture.load(2);
+        CHECK(fixture.open(501).target->record.service == "booking");
+    }
+}
+
+TEST_CASE("answers of several packets: only their times decide, not the number of outstanding requests")
+{
+    const WaitingSettings settings;
+    WaitingAdmission admission(settings);
+    const RouteDemand route{ feedAddress, 1, milliseconds(400) };
+    ManualClock clock;
+    for (int i = 0; i < 100; ++i) {
+        clock.advance(milliseconds(20));
+        admission.addAnswer(route.address, "booking", { milliseconds(60), 2400, false, Acknowledgement::Alone }, clock.now());
+        admission.update("booking", { 50, 2, 2 }, clock.now());
+    }
+    CHECK(admission.check(route, "booking", clock.now()).isAdmitted);
+}
