Flows: members of a zone report the load of their targets to each other

Cause: an instance sees about a thirtieth of its zone's requests, so it spreads flows almost at random, and its admission works with a noisy sample. Change: message LoadReport with the outstanding requests by routing token and the requests held by service, 6,000 bytes a second at most, only above 75% of the slots. Among the targets with the fewest own requests, the reports decide between two random ones. Admission takes the larger of the own estimate and the mean of the reports.

--- a/src/apps/flowdaemon.cpp
+++ b/src/apps/flowdaemon.cpp
@@ -292,7 +292,9 @@
         FlowActions actions;
         this->forwarder.tick(actions);
         this->perform(actions);
+        this->store.setOwnLoad(this->forwarder.ownLoad());
         this->store.tick();
+        this->forwarder.onReportedLoad(this->store.reportedLoad());
         this->beginReceiveWhenReady();
         if (now >= this->nextSettingsPoll) {
             this->nextSettingsPoll = now + settingsPollInterval;
--- a/src/apps/flowstore.cpp
+++ b/src/apps/flowstore.cpp
@@ -5,6 +5,7 @@
 #include "apps/peerlink.h"
 #include "apps/storereadersettings.h"
 #include "apps/storereadings.h"
+#include "balancing/loadreports.h"
 #include "membership/membership.h"
 #include "platform/flowobjects.h"
 #include "platform/platformclient.h"
@@ -73,6 +74,7 @@
               [this](const PeerMessage &message) { this->onMessage(message); }, [this](MemberId member) { return this->membership.endpointOf(member); })
         , rotation(RotationSettings{}, zoneIdOf(settings.zone))
         , sharing(makeStoreReaderSettings(*settings.flows).sharing, this->membership, clock, this->counters, observer)
+        , loadReports(settings.flows->parts.reports, this->membership, clock)
         , client(context, this->counters, makePlatformSettings(settings))
         , targets(
               this->client, clock, seed, std::string(targetPrefix), [this](const ObjectReadResult &read) { this->onTargets(read); },
@@ -98,6 +100,7 @@
         Actions out;
         this->membership.tick(out);
         this->sharing.tick(out);
+        this->loadReports.tick(this->ownLoad, out);
         this->link.send(out);
         this->updateMembers();
         this->tickWatcher(StoreResource::Targets);
@@ -210,6 +213,8 @@
                     this->membership.onMessage(typed, out);
                 } else if constexpr (requires { this->sharing.onMessage(typed, out); }) {
                     this->sharing.onMessage(typed, out);
+                } else if constexpr (requires { this->loadReports.onMessage(typed); }) {
+                    this->loadReports.onMessage(typed);
                 } else {
                     this->counters.add(Counter::PeerPacketsRejected); // message type of instances that serve tables
                 }
@@ -274,7 +279,8 @@
         return this->counters.text() + readingGauges(StoreResource::Targets, this->targets, this->clock.now())
             + readingGauges(StoreResource::Configuration, this->configurations, this->clock.now()) + "hornbeam_members_live "
             + std::to_string(this->liveMembers) + "\nhornbeam_store_reader " + (this->sharing.isReader(StoreResource::Targets) ? "1" : "0")
-            + "\nhornbeam_rotation_aside " + (this->rotation.isOutOfRotation() ? "1" : "0") + "\n";
+            + "\nhornbeam_load_reports_fresh " + std::to_string(this->loadReports.reported().reports) + "\nhornbeam_load_report_bytes_total "
+            + std::to_string(this->loadReports.bytesSent()) + "\nhornbeam_rotation_aside " + (this->rotation.isOutOfRotation() ? "1" : "0") + "\n";
     }
 
     std::string membersPage() const
@@ -309,6 +315,8 @@
     PeerLink link;
     RotationPolicy rotation;
     SharedStoreReader sharing;
+    LoadReports loadReports;
+    OwnLoad ownLoad; // to be reported
     PlatformClient client;
     ObjectWatcher targets;
     ObjectWatcher configurations;
@@ -388,6 +396,16 @@
     return this->impl->liveMembers;
 }
 
+void FlowStore::setOwnLoad(OwnLoad load)
+{
+    this->impl->ownLoad = std::move(load);
+}
+
+const ReportedLoad &FlowStore::reportedLoad() const
+{
+    return this->impl->loadReports.reported();
+}
+
 size_t FlowStore::liveZoneInstances() const
 {
     return this->impl->liveZoneMembers;
--- a/src/apps/flowstore.h
+++ b/src/apps/flowstore.h
@@ -4,6 +4,7 @@
 // to leave the rotation.
 
 #include "apps/settings.h"
+#include "balancing/loadreports.h"
 #include "sharing/sharedstorereader.h"
 
 #include <functional>
@@ -52,6 +53,10 @@
     bool isOutOfRotation() const;
     /** Number of live instances in all zones, including this one. */
     size_t liveInstances() const;
+    /** Sets the load that is reported to members of the own zone. */
+    void setOwnLoad(OwnLoad load);
+    /** The load that members of the own zone have reported. */
+    const ReportedLoad &reportedLoad() const;
     /** Number of live instances in the own zone, including this one. */
     size_t liveZoneInstances() const;
     /** Counters and gauges in the Prometheus text format. */
--- a/src/apps/tunables.cpp
+++ b/src/apps/tunables.cpp
@@ -139,6 +139,11 @@
     flowTunable<&FlowSettings::waiting, &WaitingSettings::overflowPercent>("share_overflow_percent", 0, 100),
     flowTunable<&FlowSettings::waiting, &WaitingSettings::window>("waiting_window_ms", 20, 10'000),
     flowTunable<&FlowSettings::waiting, &WaitingSettings::ackDelay>("ack_delay_ms", 0, 1'000),
+    flowTunable<&FlowSettings::reports, &LoadReportSettings::loadPercent>("report_load_percent", 0, 1'000),
+    flowTunable<&FlowSettings::reports, &LoadReportSettings::bytesPerSecond>("report_bytes_per_second", 500, 1'000'000),
+    flowTunable<&FlowSettings::reports, &LoadReportSettings::interval>("report_interval_ms", 50, 10'000),
+    flowTunable<&FlowSettings::reports, &LoadReportSettings::lifetime>("report_lifetime_ms", 100, 60'000),
+    flowTunable<&FlowSettings::choiceCandidates>("choice_candidates", 0, 100),
     flowTunable<&FlowSettings::maxFlows>("max_flows", 1, 1U << 24U),
 };
 
--- a/src/balancing/waitingadmission.cpp
+++ b/src/balancing/waitingadmission.cpp
@@ -84,11 +84,19 @@
 //--- Estimates
 
 // Requests also count as outstanding while they and their answers are on their way, and while the caller delays its acknowledgement.
-double WaitingAdmission::outstandingOf(const ServiceLoad &load, TimePoint now) const
+double WaitingAdmission::ownOutstandingOf(const ServiceLoad &load, TimePoint now) const
 {
     return std::max(0.0, load.outstanding - load.overhead.value(now, this->settings.window) / toSeconds(this->settings.window));
 }
 
+// Each instance sees only a small sample of a zone's requests, so their mean is a better estimate, but an older one: the larger of both detects both a queue
+// that other instances see and one that is growing.
+double WaitingAdmission::outstandingOf(const ServiceLoad &load, TimePoint now) const
+{
+    const double own = this->ownOutstandingOf(load, now);
+    return std::max(own, (own + load.occupancy.reportedOutstanding) / static_cast<double>(1 + load.occupancy.reports));
+}
+
 // Since all slots are in use when there is a queue, slots divided by throughput bound the service time. This corrects measurements that included a queue.
 double WaitingAdmission::serviceSecondsOf(const ServiceLoad &load, TimePoint now) const
 {
@@ -190,7 +198,11 @@
 {
     std::map<std::string, ServiceState> found;
     for (const auto &[service, load] : this->services) {
-        found[service] = { this->waitingSecondsOf(load, now), this->serviceSecondsOf(load, now), this->outstandingOf(load, now), load.occupancy.slots,
+        found[service] = { this->waitingSecondsOf(load, now),
+                           this->serviceSecondsOf(load, now),
+                           this->outstandingOf(load, now),
+                           this->ownOutstandingOf(load, now),
+                           load.occupancy.slots,
                            this->refusedShareOf(load, now) };
     }
     return found;
--- a/src/balancing/waitingadmission.h
+++ b/src/balancing/waitingadmission.h
@@ -24,9 +24,11 @@
 /** The load and the capacity of a service's usable targets; both are one instance's share of those of all instances. */
 struct ServiceOccupancy
 {
-    double outstanding = 0;    // requests without an answer
-    double slots = 0;          // requests that the targets process at a time
-    double slotsPerTarget = 1; // mean
+    double outstanding = 0;         // requests without an answer
+    double slots = 0;               // requests that the targets process at a time
+    double slotsPerTarget = 1;      // mean
+    double reportedOutstanding = 0; // requests that the targets process or queue for other instances: sum of their reports
+    size_t reports = 0;
 };
 
 /** Result of a check whether a new flow may be opened, with the values that led to it. */
@@ -69,7 +71,8 @@
     {
         double waitingSeconds = 0;
         double serviceSeconds = 0;
-        double outstanding = 0;
+        double outstanding = 0; // the larger of the own count and the mean of the instances that report theirs
+        double ownOutstanding = 0;
         double slots = 0;
         double refusedShare = 0;
     };
@@ -99,6 +102,7 @@
         std::map<uint32_t, DecayingSum> requestsByPriority; // and refused flows
     };
 
+    double ownOutstandingOf(const ServiceLoad &load, TimePoint now) const;
     double outstandingOf(const ServiceLoad &load, TimePoint now) const;
     double serviceSecondsOf(const ServiceLoad &load, TimePoint now) const;
     double waitingSecondsOf(const ServiceLoad &load, TimePoint now) const;
--- a/src/balancing/waitingsettings.h
+++ b/src/balancing/waitingsettings.h
@@ -1,6 +1,6 @@
 #pragma once
 
-// Settings of the admission of new flows by expected waiting time.
+// Settings of the admission of new flows by expected waiting time, and of the load reports between instances.
 
 #include "core/clock.h"
 
@@ -21,4 +21,12 @@
     Duration ackDelay = milliseconds(40); // of a caller's acknowledgement of a single packet
 };
 
+struct LoadReportSettings
+{
+    uint32_t loadPercent = 75;              // of the slots of a service in use from which an instance reports; 0: never
+    uint32_t bytesPerSecond = 6000;         // budget of sent reports, with the headers of UDP and IP
+    Duration interval = milliseconds(500);  // shortest time between two reports to the same member
+    Duration lifetime = milliseconds(1000); // of a received report
+};
+
 } // namespace hornbeam
--- a/src/flows/flowforwarder.cpp
+++ b/src/flows/flowforwarder.cpp
@@ -340,6 +340,16 @@
     this->placement.setInstanceCounts(allZones, ownZone);
 }
 
+OwnLoad FlowForwarder::ownLoad() const
+{
+    return this->placement.ownLoad(this->clock.now());
+}
+
+void FlowForwarder::onReportedLoad(const ReportedLoad &load)
+{
+    this->placement.onReportedLoad(load);
+}
+
 void FlowForwarder::tick(FlowActions &out)
 {
     const TimePoint now = this->clock.now();
--- a/src/flows/flowforwarder.h
+++ b/src/flows/flowforwarder.h
@@ -4,6 +4,7 @@
 //
 // Sections: results | forwarder
 
+#include "balancing/loadreports.h"
 #include "core/clock.h"
 #include "flows/answertimes.h"
 #include "flows/flowcounters.h"
@@ -95,6 +96,10 @@
     void endCheck(const TargetPtr &target, CheckOutcome outcome, FlowActions &out);
     /** Sets the number of live instances, including this one, in all zones and in the own zone. */
     void setInstanceCounts(size_t allZones, size_t ownZone);
+    /** The load that this instance causes, to be reported to other members of the zone. */
+    OwnLoad ownLoad() const;
+    /** Applies the load that other members of the zone have reported. */
+    void onReportedLoad(const ReportedLoad &load);
     /** Detects unanswered packets, starts due checks and expires old flows. Call about every 20 ms. */
     void tick(FlowActions &out);
 
--- a/src/flows/flowsettings.h
+++ b/src/flows/flowsettings.h
@@ -51,6 +51,8 @@
 
     // admission of new flows by expected waiting time, for routes whose answers fit into one packet
     WaitingSettings waiting;
+    LoadReportSettings reports;
+    uint32_t choiceCandidates = 2; // among which the reports of other members decide; 0: reports don't matter for the choice
 
     // flow table
     Duration closedFlowRetention = seconds(2); // so that retransmissions of its last packets are still matched to the flow
--- a/src/flows/placement.cpp
+++ b/src/flows/placement.cpp
@@ -52,9 +52,9 @@
     const std::vector<TargetPtr> &candidates = this->directory.targetsOf(placement.service);
     placement.candidates = candidates.size();
     const CandidateFilter filter{ this->rules, now };
-    placement.target = this->chooser.choose(candidates, request.previousTarget, filter);
+    placement.target = this->chooser.choose(candidates, request.previousTarget, filter, this->hasReports);
     if (placement.target == nullptr && request.previousTarget != nullptr) {
-        placement.target = this->chooser.choose(candidates, nullptr, filter);
+        placement.target = this->chooser.choose(candidates, nullptr, filter, this->hasReports);
     }
     if (placement.target != nullptr) {
         placement.outcome = PlacementOutcome::Placed;
@@ -166,10 +166,50 @@
         ++targets;
     }
     occupancy.slots = std::max(slots / static_cast<double>(this->instances), zoneSlots / static_cast<double>(this->zoneInstances));
+    const auto reported = this->reportedServices.find(service);
+    if (this->hasReports && reported != this->reportedServices.end()) {
+        occupancy.reportedOutstanding = reported->second.held;
+        occupancy.reports = reported->second.reports;
+    }
     occupancy.slotsPerTarget = targets == 0 ? 1 : slots / static_cast<double>(targets);
     return occupancy;
 }
 
+OwnLoad FlowPlacement::ownLoad(TimePoint now) const
+{
+    OwnLoad load;
+    for (const auto &[service, state] : this->waiting.states(now)) {
+        if (!this->services.contains(service)) {
+            continue;
+        }
+        load.services.push_back({ serviceIdOf(service), state.ownOutstanding, state.slots });
+        for (const TargetPtr &target : this->directory.targetsOf(service)) {
+            if (target->outstandingRequests > 0) {
+                load.targets.push_back({ target->token, target->outstandingRequests });
+            }
+        }
+    }
+    return load;
+}
+
+void FlowPlacement::onReportedLoad(const ReportedLoad &load)
+{
+    if (load.reports == 0 && !this->hasReports && this->reportedServices.empty()) {
+        return;
+    }
+    this->hasReports = 2 * load.reports >= this->zoneInstances && this->zoneInstances > 1;
+    this->reportedServices.clear();
+    for (const std::string &service : this->services) {
+        const auto found = load.services.find(serviceIdOf(service));
+        if (found != load.services.end()) {
+            this->reportedServices[service] = found->second;
+        }
+        for (const TargetPtr &target : this->directory.targetsOf(service)) {
+            target->reportedRequests = load.outstandingOf(target->token);
+        }
+    }
+}
+
 std::map<std::string, WaitingAdmission::ServiceState> FlowPlacement::serviceStates(TimePoint now) const
 {
     return this->waiting.states(now);
--- a/src/flows/placement.h
+++ b/src/flows/placement.h
@@ -3,6 +3,7 @@
 // Selects the target of a new flow: the route's service, the targets that may be given a flow, the least loaded one among them, and admission control by
 // congestion and by expected waiting time. A flow that its service would refuse goes to another share of the route that has room.
 
+#include "balancing/loadreports.h"
 #include "balancing/waitingadmission.h"
 #include "core/clock.h"
 #include "flows/admission.h"
@@ -73,6 +74,10 @@
     void setInstanceCounts(size_t allZones, size_t ownZone);
     /** Updates the load of all services. Call it about every 20 ms. */
     void tick(TimePoint now);
+    /** The load that this instance causes, to be reported to other members of the zone. */
+    OwnLoad ownLoad(TimePoint now) const;
+    /** Applies the load that other members of the zone have reported. */
+    void onReportedLoad(const ReportedLoad &load);
     /** Load and expected waiting time of the services. */
     std::map<std::string, WaitingAdmission::ServiceState> serviceStates(TimePoint now) const;
 
@@ -89,7 +94,9 @@
     WaitingAdmission waiting;
     std::vector<PlacementRule *> rules;
     std::set<std::string> services; // of the routes in force
-    size_t instances = 1;           // in all zones
+    std::map<std::string, ReportedLoad::Service> reportedServices;
+    bool hasReports = false; // most members of the zone report their load
+    size_t instances = 1;    // in all zones
     size_t zoneInstances = 1;
 };
 
--- a/src/flows/targetchooser.cpp
+++ b/src/flows/targetchooser.cpp
@@ -4,13 +4,23 @@
 
 namespace hornbeam {
 
+namespace {
+constexpr uint32_t maxDraws = 40; // of random targets, until enough usable ones are found
+}
+
 TargetChooser::TargetChooser(const FlowSettings &settings, ZoneId ownZone, uint64_t seed)
     : settings(settings), ownZone(ownZone), random(static_cast<std::minstd_rand::result_type>(seed))
 {
 }
 
-TargetPtr TargetChooser::choose(const std::vector<TargetPtr> &targets, const TargetPtr &excluded, const CandidateFilter &filter)
+TargetPtr TargetChooser::choose(const std::vector<TargetPtr> &targets, const TargetPtr &excluded, const CandidateFilter &filter, bool hasReports)
 {
+    if (hasReports && this->settings.choiceCandidates > 0) {
+        TargetPtr best = this->bestOfFew(targets, excluded, filter);
+        if (best != nullptr) {
+            return best;
+        }
+    }
     for (const TargetPhase phase : { TargetPhase::Ready, TargetPhase::Missing }) {
         TargetPtr best = this->leastLoaded(targets, excluded, filter, phase, false);
         if (best != nullptr) {
@@ -20,13 +30,59 @@
     return this->leastLoaded(targets, excluded, filter, TargetPhase::Ready, true);
 }
 
-double TargetChooser::loadOf(const Target &target) const
+double TargetChooser::slownessOf(const Target &target) const
+{
+    return target.answers < this->settings.minAnswersForSlowness ? 1.0 : std::clamp<double>(target.slowness, 1.0, this->settings.maxSlowness);
+}
+
+double TargetChooser::requestsOf(const Target &target) const
+{
+    return target.outstandingRequests * this->slownessOf(target) / target.record.slots;
+}
+
+double TargetChooser::loadOf(const Target &target, double reported) const
 {
     constexpr double percent = 100;
-    const double slowness = target.answers < this->settings.minAnswersForSlowness ? 1.0 : std::clamp<double>(target.slowness, 1.0, this->settings.maxSlowness);
     const double distance = target.record.zone == this->ownZone ? 1.0 : this->settings.ownZonePercent / percent;
-    const double load = target.outstandingRequests + (target.openFlows + 1) * (this->settings.openFlowPercent / percent);
-    return load * slowness * distance / target.record.slots;
+    const double load = target.outstandingRequests + reported + (target.openFlows + 1) * (this->settings.openFlowPercent / percent);
+    return load * this->slownessOf(target) * distance / target.record.slots;
+}
+
+bool TargetChooser::isUsable(const Target &target, TargetPhase phase, bool isIdentityUnverified)
+{
+    // A missing target that had drained has ended, or is about to. Another process may have its name and address already.
+    const bool hasDrained = phase == TargetPhase::Missing && target.record.isDraining;
+    return target.phase == phase && !hasDrained && target.isIdentityUnverified == isIdentityUnverified && (!target.isSilent() || isIdentityUnverified)
+        && !target.isTokenTaken;
+}
+
+// The own counts decide on the zone: reports say nothing of the requests that members of other zones send to their targets. Within the zone they come first,
+// too, because they are exact; the reports, which are older, decide between a few of the targets with the fewest own outstanding requests.
+TargetPtr TargetChooser::bestOfFew(const std::vector<TargetPtr> &targets, const TargetPtr &excluded, const CandidateFilter &filter)
+{
+    const TargetPtr reference = this->leastLoaded(targets, excluded, filter, TargetPhase::Ready, false);
+    if (reference == nullptr) {
+        return nullptr;
+    }
+    TargetPtr best;
+    double bestLoad = 0;
+    // Each draw may hit a target that can't be used.
+    uint32_t left = this->settings.choiceCandidates;
+    for (uint32_t draws = 0; draws < maxDraws && left > 0; ++draws) {
+        const TargetPtr &target = targets[this->random() % targets.size()];
+        const bool isCandidate = target->record.zone == reference->record.zone && target != excluded && isUsable(*target, TargetPhase::Ready, false)
+            && this->requestsOf(*target) <= this->requestsOf(*reference);
+        if (!isCandidate || !filter.isEligible(*target)) {
+            continue;
+        }
+        --left;
+        const double load = this->loadOf(*target, target->reportedRequests);
+        if (best == nullptr || load < bestLoad) {
+            best = target;
+            bestLoad = load;
+        }
+    }
+    return best == nullptr ? reference : best;
 }
 
 TargetPtr TargetChooser::leastLoaded(const std::vector<TargetPtr> &targets, const TargetPtr &excluded, const CandidateFilter &filter, TargetPhase phase,
@@ -36,13 +92,10 @@
     double bestLoad = 0;
     uint32_t ties = 0;
     for (const TargetPtr &target : targets) {
-        // A missing target that had drained has ended, or is about to. Another process may have its name and address already.
-        const bool hasDrained = phase == TargetPhase::Missing && target->record.isDraining;
-        if (target->phase != phase || hasDrained || target->isIdentityUnverified != isIdentityUnverified || (target->isSilent() && !isIdentityUnverified)
-            || target->isTokenTaken || target == excluded) {
+        if (!isUsable(*target, phase, isIdentityUnverified) || target == excluded) {
             continue;
         }
-        const double load = this->loadOf(*target);
+        const double load = this->loadOf(*target, 0);
         if ((best != nullptr && load > bestLoad) || !filter.isEligible(*target)) {
             continue;
         }
--- a/src/flows/targetchooser.h
+++ b/src/flows/targetchooser.h
@@ -21,12 +21,17 @@
      * Returns the target with the fewest outstanding requests and open flows per slot, weighted by its speed. Targets in the own availability zone are
      * preferred unless they are much busier than the others. Missing targets that were not draining are used only if no ready target is available, and
      * targets that refused a connection and may have been replaced by another process only as a last resort. Returns null if no target accepts new flows.
-     * `excluded` may be null. Targets that the filter excludes are not used at all.
+     * `excluded` may be null. Targets that the filter excludes are not used at all. `hasReports`: other members report their outstanding requests. These count,
+     * too, but the choice is then among a few random targets, because all members would choose the target that was the least loaded one of the last reports.
      */
-    TargetPtr choose(const std::vector<TargetPtr> &targets, const TargetPtr &excluded, const CandidateFilter &filter);
+    TargetPtr choose(const std::vector<TargetPtr> &targets, const TargetPtr &excluded, const CandidateFilter &filter, bool hasReports = false);
 
 private:
-    double loadOf(const Target &target) const;
+    double slownessOf(const Target &target) const;
+    double requestsOf(const Target &target) const; // own outstanding ones for each slot
+    double loadOf(const Target &target, double reported) const;
+    TargetPtr bestOfFew(const std::vector<TargetPtr> &targets, const TargetPtr &excluded, const CandidateFilter &filter);
+    static bool isUsable(const Target &target, TargetPhase phase, bool isIdentityUnverified);
     TargetPtr leastLoaded(const std::vector<TargetPtr> &targets, const TargetPtr &excluded, const CandidateFilter &filter, TargetPhase phase,
                           bool isIdentityUnverified);
 
--- a/src/flows/targetdirectory.h
+++ b/src/flows/targetdirectory.h
@@ -58,6 +58,8 @@
     uint32_t openFlows = 0;
     uint32_t outstandingRequests = 0; // opening packets and requests without an answer
 
+    double reportedRequests = 0; // outstanding requests of other members of the zone, as of their last reports
+
     // updated by AnswerTimes
     double slowness = 1;  // moving average of its answer times relative to the means of their routes
     uint32_t answers = 0; // number of measured answers
--- a/tests/servicefake.h
+++ b/tests/servicefake.h
@@ -2,8 +2,10 @@
 
 // A service's targets, the callers of a zone and the zone's instances in one loop, to test admission and load reports without a network.
 
+#include "balancing/loadreports.h"
 #include "balancing/waitingadmission.h"
 #include "core/clock.h"
+#include "fakedirectory.h"
 
 #include <algorithm>
 #include <deque>
@@ -62,6 +64,22 @@
         this->update();
     }
 
+    /** Lets the instances report their load to each other and choose, of two random targets with the fewest own requests, the one with fewer reported ones. */
+    void beginReports(const LoadReportSettings &settings)
+    {
+        for (size_t i = 0; i < this->outstanding.size(); ++i) {
+            MemberRecord record;
+            record.id = i + 1;
+            record.incarnation = 1;
+            this->directory.members.push_back(record);
+        }
+        for (const MemberRecord &record : this->directory.members) {
+            auto own = std::make_unique<FakeDirectory>(this->directory);
+            own->selfRecord = record;
+            this->reports.push_back(std::make_unique<LoadReports>(settings, *own, this->clock));
+            this->directories.push_back(std::move(own));
+        }
+    }
     /** Lets `duration` seconds pass; the counts of the routes are those of this time. */
     void run(double duration)
     {
@@ -80,7 +98,7 @@
     }
     TimePoint now() const
     {
-        return TimePoint{} + std::chrono::hours(1) + std::chrono::duration_cast<Duration>(std::chrono::duration<double>(this->time));
+        return this->clock.now();
     }
     /** Requests at all targets that are processed or queued. */
     size_t held() const
@@ -94,7 +112,6 @@
 
     const WaitingSettings settings;
     std::vector<FakeRoute> routes;
-    std::function<size_t(size_t instance)> choose; // a target; the one with the fewest own outstanding requests if not set
 
     static constexpr size_t slots = 2;
     static constexpr size_t queueLimit = 8;
@@ -157,7 +174,7 @@
             this->at(fakeRetryDelay, [this, route, startedAt, attempt] { this->retry(route, startedAt, attempt); });
             return;
         }
-        flow->target = this->choose ? this->choose(flow->instance) : this->leastOutstanding(flow->instance);
+        flow->target = this->reports.empty() ? this->leastOutstanding(flow->instance) : this->lessLoadedOfTwo(flow->instance);
         ++this->outstanding[flow->instance][flow->target];
         this->at(2 * fakeOneWay, [this, flow, startedAt, attempt] {
             --this->outstanding[flow->instance][flow->target];
@@ -181,6 +198,38 @@
         }
         return best;
     }
+    size_t lessLoadedOfTwo(size_t instance)
+    {
+        const std::vector<uint32_t> &own = this->outstanding[instance];
+        const ReportedLoad &reported = this->reports[instance]->reported();
+        const uint32_t least = *std::min_element(own.begin(), own.end());
+        std::vector<uint32_t> candidates;
+        while (candidates.size() < 2) {
+            const uint32_t target = this->random() % own.size();
+            if (own[target] == least) {
+                candidates.push_back(target);
+            }
+        }
+        return reported.outstandingOf(candidates[0] + 1) <= reported.outstandingOf(candidates[1] + 1) ? candidates[0] : candidates[1];
+    }
+    void report()
+    {
+        Actions out;
+        for (size_t instance = 0; instance < this->reports.size(); ++instance) {
+            const auto state = this->admissions[instance].states(this->now()).at("main");
+            OwnLoad load;
+            load.services.push_back({ 1, state.ownOutstanding, state.slots });
+            for (uint32_t target = 0; target < this->targets.size(); ++target) {
+                if (this->outstanding[instance][target] > 0) {
+                    load.targets.push_back({ target + 1, this->outstanding[instance][target] });
+                }
+            }
+            this->reports[instance]->tick(load, out);
+        }
+        for (const OutgoingMessage &message : out.toPeers) {
+            this->reports[message.peer - 1]->onMessage(std::get<LoadReport>(message.message));
+        }
+    }
     void send(const FlowPtr &flow, double startedAt, size_t attempt)
     {
         flow->startedAt = startedAt;
@@ -255,20 +304,51 @@
             const std::vector<uint32_t> &own = this->outstanding[instance];
             const double sum = std::accumulate(own.begin(), own.end(), 0.0);
             const double share = static_cast<double>(slots * own.size()) / static_cast<double>(this->outstanding.size());
-            this->admissions[instance].update("main", { sum, share, slots }, this->now());
+            ServiceOccupancy occupancy{ sum, share, slots };
+            if (!this->reports.empty() && this->reports[instance]->reported().services.contains(1)) {
+                const ReportedLoad::Service &reported = this->reports[instance]->reported().services.at(1);
+                occupancy.reportedOutstanding = reported.held;
+                occupancy.reports = reported.reports;
+            }
+            this->admissions[instance].update("main", occupancy, this->now());
         }
+        this->report();
         this->at(0.02, [this] { this->update(); });
     }
 
+    /** The time of the loop. */
+    class LoopClock final : public Clock
+    {
+    public:
+        explicit LoopClock(const double &time) : time(time)
+        {
+        }
+        TimePoint now() const override
+        {
+            return TimePoint{} + std::chrono::hours(1) + std::chrono::duration_cast<Duration>(std::chrono::duration<double>(this->time));
+        }
+        uint64_t wallMillis() const override
+        {
+            return 0;
+        }
+
+    private:
+        const double &time;
+    };
+
     double time = 0;
+    const LoopClock clock{ this->time };
+    FakeDirectory directory;
+    std::vector<std::unique_ptr<FakeDirectory>> directories;
     std::multimap<double, std::function<void()>> events;
     std::minstd_rand random{ 7 };
     std::vector<FakeTarget> targets;
 
 public:
-    std::vector<std::vector<uint32_t>> outstanding; // by instance and target
-    std::vector<std::vector<FlowPtr>> pools;        // idle flows by route
-    std::vector<WaitingAdmission> admissions;       // by instance
+    std::vector<std::vector<uint32_t>> outstanding;    // by instance and target
+    std::vector<std::vector<FlowPtr>> pools;           // idle flows by route
+    std::vector<WaitingAdmission> admissions;          // by instance
+    std::vector<std::unique_ptr<LoadReports>> reports; // by instance; empty without reports
 };
 
 } // namespace service_fake
