--- a/src/balancing/loadreports.cpp
+++ b/src/balancing/loadreports.cpp
@@ -74,6 +74,7 @@
     this->sum = {};
     this->sum.reports = this->received.size();
     for (const auto &[member, report] : this->received) {
+        this->sum.members += report.weight;
         for (const TargetLoad &target : report.targets) {
             this->sum.targets[target.token] += report.weight * target.outstanding;
         }
--- a/src/balancing/loadreports.h
+++ b/src/balancing/loadreports.h
@@ -39,6 +39,7 @@
     std::unordered_map<uint32_t, double> targets; // outstanding requests of other members by routing token
     std::map<ServiceId, Service> services;
     size_t reports = 0; // fresh ones
+    double members = 0; // estimate of the members that report, in larger zones more than there are fresh reports
 
     double outstandingOf(uint32_t token) const;
 };
--- a/src/flows/placement.cpp
+++ b/src/flows/placement.cpp
@@ -197,7 +197,7 @@
     if (load.reports == 0 && !this->hasReports && this->reportedServices.empty()) {
         return;
     }
-    this->hasReports = 2 * load.reports >= this->zoneInstances && this->zoneInstances > 1;
+    this->hasReports = load.reports > 0 && 2 * load.members >= static_cast<double>(this->zoneInstances - 1);
     this->reportedServices.clear();
     for (const std::string &service : this->services) {
         const auto found = load.services.find(serviceIdOf(service));
--- a/tests/loadreports_test.cpp
+++ b/tests/loadreports_test.cpp
@@ -154,6 +154,7 @@
     {
         fixture.receive(4, 1, 2, 5, 3000);
         CHECK(fixture.reportedAfter(milliseconds(200)) == 11);
+        CHECK(fixture.reports.reported().members == 5);
     }
 }
 
@@ -219,6 +220,7 @@
     const auto token = routingTokenOf(makeTarget("b1"));
     ReportedLoad load;
     load.reports = 2;
+    load.members = 2;
     load.targets[token] = 8;
     const auto placedOnFirst = [&fixture](uint16_t firstPort) {
         int placed = 0;
