--- a/src/apps/flowdaemon.cpp
+++ b/src/apps/flowdaemon.cpp
@@ -299,11 +299,13 @@
         }
         const LoadSample load = this->measureLoad(now);
         this->lastTick = now;
-        this->forwarder.setInstanceCount(this->store.liveInstances());
+        this->forwarder.setInstanceCounts(this->store.liveInstances(), this->store.liveZoneInstances());
         FlowActions actions;
         this->forwarder.tick(actions);
         this->perform(actions);
+        this->store.setOwnLoad(this->forwarder.ownLoad());
         this->store.tick(load);
+        this->forwarder.onReportedLoad(this->store.reportedLoad());
         this->beginReceiveWhenReady();
         if (this->settings.flows->evacuationBound.has_value() && this->forwarder.isReady() && !this->forwarder.evacuationRule().isLoaded()) {
             this->evacuations.logUnknown();
--- a/src/apps/flowstore.cpp
+++ b/src/apps/flowstore.cpp
@@ -6,6 +6,7 @@
 #include "apps/peerlink.h"
 #include "apps/storereadersettings.h"
 #include "apps/storereadings.h"
+#include "balancing/loadreports.h"
 #include "membership/membership.h"
 #include "platform/flowobjects.h"
 #include "platform/platformclient.h"
@@ -68,6 +69,7 @@
         , rotation(RotationSettings{}, zoneIdOf(settings.zone))
         , overload(*settings.flows, this->membership.self(), clock, this->counters, this->logEvent)
         , sharing(makeStoreReaderSettings(*settings.flows).sharing, this->membership, clock, this->counters, observer)
+        , loadReports(settings.flows->parts.reports, this->membership, clock)
         , client(context, this->counters, makePlatformSettings(settings))
         , seeds(
               this->client, clock, seed + 2, settings.zone, Endpoint{ settings.address, settings.peerPort },
@@ -109,6 +111,7 @@
         Actions out;
         this->membership.tick(out);
         this->sharing.tick(out);
+        this->loadReports.tick(this->ownLoad, out);
         this->link.send(out);
         this->updateMembers();
         for (const StoreResource resource : this->readings) {
@@ -239,6 +242,8 @@
                     this->membership.onMessage(typed, out);
                 } else if constexpr (requires { this->sharing.onMessage(typed, out); }) {
                     this->sharing.onMessage(typed, out);
+                } else if constexpr (requires { this->loadReports.onMessage(typed); }) {
+                    this->loadReports.onMessage(typed);
                 } else {
                     this->counters.add(Counter::PeerPacketsRejected); // message type of instances that serve tables
                 }
@@ -274,6 +279,8 @@
         this->updateSeeds();
         const std::vector<MemberRecord> members = this->membership.members();
         this->liveMembers = std::count_if(members.begin(), members.end(), [](const MemberRecord &member) { return isLive(member.state); });
+        this->liveZoneMembers = std::count_if(
+            members.begin(), members.end(), [this](const MemberRecord &member) { return isLive(member.state) && member.zone == this->membership.self().zone; });
         if (this->rotation.update(members, this->membership.zoneContacts(), now)) {
             this->logEvent(this->rotation.isOutOfRotation() ? "rotation_left" : "rotation_rejoined", { { "members", members.size() } });
         }
@@ -310,7 +317,8 @@
         }
         return text + "hornbeam_members_live " + std::to_string(this->liveMembers) + "\nhornbeam_store_reader "
             + (this->sharing.isReader(StoreResource::Targets) ? "1" : "0") + "\nhornbeam_rotation_aside " + (this->rotation.isOutOfRotation() ? "1" : "0")
-            + "\n" + this->overload.gauges();
+            + "\nhornbeam_load_reports_fresh " + std::to_string(this->loadReports.reported().reports) + "\nhornbeam_load_report_bytes_total "
+            + std::to_string(this->loadReports.bytesSent()) + "\n" + this->overload.gauges();
     }
 
     std::string membersPage() const
@@ -334,6 +342,8 @@
     RotationPolicy rotation;
     OverloadRotation overload;
     SharedStoreReader sharing;
+    LoadReports loadReports;
+    OwnLoad ownLoad; // to be reported
     PlatformClient client;
     std::vector<StoreResource> readings; // that the deployment uses
     std::array<std::unique_ptr<ObjectWatcher>, static_cast<size_t>(StoreResource::Count)> watchers;
@@ -344,6 +354,7 @@
     std::array<bool, static_cast<size_t>(StoreResource::Count)> wasOutdated{}; // as of the last tick
     std::set<std::string> unknownKinds;                                        // logged
     size_t liveMembers = 1;                                                    // of all zones, including this instance
+    size_t liveZoneMembers = 1;                                                // of the own zone, including this instance
     TimePoint nextMemberUpdate;
 };
 
@@ -412,6 +423,21 @@
     return this->impl->liveMembers;
 }
 
+void FlowStore::setOwnLoad(OwnLoad load)
+{
+    this->impl->ownLoad = std::move(load);
+}
+
+const ReportedLoad &FlowStore::reportedLoad() const
+{
+    return this->impl->loadReports.reported();
+}
+
+size_t FlowStore::liveZoneInstances() const
+{
+    return this->impl->liveZoneMembers;
+}
+
 std::string FlowStore::metricsText() const
 {
     return this->impl->metricsText();
--- a/src/apps/tunables.cpp
+++ b/src/apps/tunables.cpp
@@ -108,6 +108,13 @@
     return partTunable<OverloadSettings, Field>(key, low, high);
 }
 
+template<auto Part, auto Field>
+constexpr PartTunable<FlowSettings> flowPartTunable(const char *key, uint64_t low, uint64_t high)
+{
+    return { key, low, high, [](const FlowSettings &flows) { return toNumber(flows.*Part.*Field); },
+             [](FlowSettings &flows, uint64_t number) { assign(flows.*Part.*Field, number); } };
+}
+
 constexpr PartTunable<OverloadSettings> overloadTunables[] = {
     overloadTunable<&OverloadSettings::maxDelay>("overload_delay_ms", 10, 5000),
     overloadTunable<&OverloadSettings::confirmationPeriod>("overload_period_ms", 100, minuteMs),
@@ -154,6 +161,19 @@
     flowTunable<&FlowSettings::overloadLimitPercent>("overload_limit_percent", 1, 1'000'000),
     flowTunable<&FlowSettings::overloadRejectedPercent>("overload_rejected_percent", 1, 100),
     flowTunable<&FlowSettings::minAnswersForAdmission>("answers_to_admit", 1, 1'000'000),
+    flowPartTunable<&FlowSettings::waiting, &WaitingSettings::limitPercent>("waiting_limit_percent", 0, 1'000),
+    flowPartTunable<&FlowSettings::waiting, &WaitingSettings::overloadLimitPercent>("waiting_overload_percent", 0, 100),
+    flowPartTunable<&FlowSettings::waiting, &WaitingSettings::preferredDemandPercent>("preferred_demand_percent", 0, 1'000),
+    flowPartTunable<&FlowSettings::waiting, &WaitingSettings::targetQueue>("target_queue", 1, 10'000),
+    flowPartTunable<&FlowSettings::waiting, &WaitingSettings::minAnswers>("answers_to_expect", 1, 1'000'000),
+    flowPartTunable<&FlowSettings::waiting, &WaitingSettings::overflowPercent>("share_overflow_percent", 0, 100),
+    flowPartTunable<&FlowSettings::waiting, &WaitingSettings::window>("waiting_window_ms", 20, 10'000),
+    flowPartTunable<&FlowSettings::waiting, &WaitingSettings::ackDelay>("ack_delay_ms", 0, 1'000),
+    flowPartTunable<&FlowSettings::reports, &LoadReportSettings::loadPercent>("report_load_percent", 0, 1'000),
+    flowPartTunable<&FlowSettings::reports, &LoadReportSettings::bytesPerSecond>("report_bytes_per_second", 500, 1'000'000),
+    flowPartTunable<&FlowSettings::reports, &LoadReportSettings::interval>("report_interval_ms", 50, 10'000),
+    flowPartTunable<&FlowSettings::reports, &LoadReportSettings::lifetime>("report_lifetime_ms", 100, 60'000),
+    flowTunable<&FlowSettings::choiceCandidates>("choice_candidates", 0, 100),
     flowTunable<&FlowSettings::maxFlows>("max_flows", 1, 1U << 24U),
 };
 
--- a/src/flows/flowcounters.h
+++ b/src/flows/flowcounters.h
@@ -51,6 +51,8 @@
     SendsRefused,       // datagrams rejected by the kernel
     EvacuationsBegun,   // evacuations of a zone that came into force here
     ChecksInconclusive, // refused checks of targets that may be overloaded
+    RefusedByWaiting,   // new flows refused because of the expected waiting time of their service
+    PlacedOtherShare,   // flows placed on another service of their route because the selected one had no capacity
     Count,
 };
 
--- a/src/flows/flowforwarder.h
+++ b/src/flows/flowforwarder.h
@@ -4,6 +4,7 @@
 //
 // Sections: results | forwarder
 
+#include "balancing/loadreports.h"
 #include "core/clock.h"
 #include "flows/answertimes.h"
 #include "flows/evacuationrule.h"
@@ -52,9 +53,10 @@
 /** What the placement of a flow was based on. */
 struct PlacementInputs
 {
-    uint64_t version = 0;  // of the active configuration
-    TimePoint confirmedAt; // when the store last confirmed that version; TimePoint{} if it has not done so yet
-    size_t candidates = 0; // listed targets of the service
+    uint64_t version = 0;        // of the active configuration
+    TimePoint confirmedAt;       // when the store last confirmed that version; TimePoint{} if it has not done so yet
+    size_t candidates = 0;       // listed targets of the service
+    std::string selectedService; // by weight; the flow is on another one if that had no capacity
 };
 
 /** Receives decisions and state changes of the forwarder. Must not call back into the forwarder. */
@@ -103,8 +105,12 @@
     void onEvacuations(const std::set<ZoneId> &zones);
     /** Processes the result of a connection check. */
     void endCheck(const TargetPtr &target, CheckOutcome outcome, FlowActions &out);
-    /** Sets the number of live instances in all zones, including this one. */
-    void setInstanceCount(size_t count);
+    /** Sets the number of live instances, including this one, in all zones and in the own zone. */
+    void setInstanceCounts(size_t allZones, size_t ownZone);
+    /** The load that this instance causes, to be reported to other members of the zone. */
+    OwnLoad ownLoad() const;
+    /** Applies the load that other members of the zone have reported. */
+    void onReportedLoad(const ReportedLoad &load);
     /** Detects unanswered packets, starts due checks and expires old flows. Call about every 20 ms. */
     void tick(FlowActions &out);
 
@@ -124,6 +130,8 @@
     std::vector<FlowState> recentFlows(size_t limit) const;
     /** When the store last confirmed the active configuration; TimePoint{} if it has not done so yet. */
     TimePoint configurationConfirmedAt() const;
+    /** Load and expected waiting time of the services. */
+    std::map<std::string, WaitingAdmission::ServiceState> serviceStates() const;
 
 private:
     PacketDecision handleOpening(const FlowPacket &packet, FlowActions &out);
