Admission: an own count that other members don't confirm refuses nothing

Cause: requests also wait in an instance's own link or processor; its count then exceeds the slots, although the service has capacity. Change: the own count counts for at most twice the mean of the reports; without any report, verdicts end after 2 s.

--- a/src/balancing/waitingadmission.cpp
+++ b/src/balancing/waitingadmission.cpp
@@ -10,12 +10,15 @@
 constexpr Duration demandWindow = seconds(2); // an instance sees some ten requests a second of a route
 constexpr Duration answerWindow = seconds(1);
 constexpr Duration refusedWindow = seconds(1);
-constexpr double refusedForLowerLimit = 0.5; // share of refused flows from which the lower limit applies
-constexpr double minOpenings = 4;            // within refusedWindow; so that a single refusal doesn't count as a large share
-constexpr double minRequestRate = 0.5;       // per second; a priority without requests needs no preference
-constexpr double maxUnqueuedShare = 0.5;     // of the slots; with random arrivals, waiting adds less than a third to the service time below it
-constexpr double maxWaitingShare = 0.7;      // of what the latency target leaves; half of the flows wait for longer than the mean
-constexpr double minLatencyShare = 0.5;      // of the latency target; with a tighter target, usual variations would look like a queue
+constexpr double refusedForLowerLimit = 0.5;         // share of refused flows from which the lower limit applies
+constexpr Duration confirmationTime = seconds(2);    // members report within 1 s
+constexpr Duration confirmationMemory = seconds(10); // without outstanding requests above the slots, until the members' silence no longer matters
+constexpr double maxOwnShare = 2;                    // of the mean of the zone
+constexpr double minOpenings = 4;                    // within refusedWindow; so that a single refusal doesn't count as a large share
+constexpr double minRequestRate = 0.5;               // per second; a priority without requests needs no preference
+constexpr double maxUnqueuedShare = 0.5;             // of the slots; with random arrivals, waiting adds less than a third to the service time below it
+constexpr double maxWaitingShare = 0.7;              // of what the latency target leaves; half of the flows wait for longer than the mean
+constexpr double minLatencyShare = 0.5;              // of the latency target; with a tighter target, usual variations would look like a queue
 
 double toSeconds(Duration duration)
 {
@@ -74,6 +77,19 @@
     load.outstanding = load.outstanding * age + occupancy.outstanding * (1 - age);
     load.occupancy = occupancy;
     load.updatedAt = now;
+    this->confirm(load, now);
+}
+
+// Requests also wait in the own link. If members see no load, the service is not the reason.
+void WaitingAdmission::confirm(ServiceLoad &load, TimePoint now) const
+{
+    if (!load.occupancy.isReportExpected || load.occupancy.reports > 0 || now - load.exceededAt > confirmationMemory) {
+        load.exceededSince = TimePoint{};
+    }
+    if (load.occupancy.isReportExpected && load.occupancy.reports == 0 && this->ownOutstandingOf(load, now) > load.occupancy.slots) {
+        load.exceededSince = load.exceededSince == TimePoint{} ? now : load.exceededSince;
+        load.exceededAt = now;
+    }
 }
 
 void WaitingAdmission::retainRoutes(const std::function<bool(const Endpoint &)> &isRoute)
@@ -90,11 +106,12 @@
 }
 
 // Each instance sees only a small sample of a zone's requests, so their mean is a better estimate, but an older one: the larger of both detects both a queue
-// that other instances see and one that is growing.
+// that other instances see and one that is growing. An own count of more than twice the mean is not the service's.
 double WaitingAdmission::outstandingOf(const ServiceLoad &load, TimePoint now) const
 {
     const double own = this->ownOutstandingOf(load, now);
-    return std::max(own, (own + load.occupancy.reportedOutstanding) / static_cast<double>(1 + load.occupancy.reports));
+    const double mean = (own + load.occupancy.reportedOutstanding) / static_cast<double>(1 + load.occupancy.reports);
+    return std::max(mean, std::min(own, maxOwnShare * mean));
 }
 
 // Since all slots are in use when there is a queue, slots divided by throughput bound the service time. This corrects measurements that included a queue.
@@ -113,7 +130,8 @@
 
 double WaitingAdmission::waitingSecondsOf(const ServiceLoad &load, TimePoint now) const
 {
-    if (load.occupancy.slots <= 0) {
+    const bool isUnconfirmed = load.exceededSince != TimePoint{} && now - load.exceededSince > confirmationTime;
+    if (load.occupancy.slots <= 0 || isUnconfirmed) {
         return 0;
     }
     return std::max(0.0, this->outstandingOf(load, now) / load.occupancy.slots - 1) * this->serviceSecondsOf(load, now);
--- a/src/balancing/waitingadmission.h
+++ b/src/balancing/waitingadmission.h
@@ -28,7 +28,8 @@
     double slots = 0;               // requests that the targets process at a time
     double slotsPerTarget = 1;      // mean
     double reportedOutstanding = 0; // requests that the targets process or queue for other instances: sum of their reports
-    size_t reports = 0;
+    size_t reports = 0;             // 0 unless most members of the zone report their load
+    bool isReportExpected = false;  // other members would report their load if the service had no capacity
 };
 
 /** Result of a check whether a new flow may be opened, with the values that led to it. */
@@ -93,8 +94,10 @@
         ServiceOccupancy occupancy;
         double outstanding = 0; // moving average
         TimePoint updatedAt;
-        DecayingSum overhead; // seconds that answered requests have spent outside of the targets
-        DecayingSum answers;  // without errors
+        TimePoint exceededSince; // when the own outstanding requests began to exceed the slots without reports of other members; TimePoint{} if they don't
+        TimePoint exceededAt;    // when this was last so
+        DecayingSum overhead;    // seconds that answered requests have spent outside of the targets
+        DecayingSum answers;     // without errors
         TimePoint firstAnswerAt;
         DecayingSum serviceTime;                            // seconds; sum of the mean service times of the answers
         DecayingSum refused;                                // of the flows below
@@ -102,6 +105,7 @@
         std::map<uint32_t, DecayingSum> requestsByPriority; // and refused flows
     };
 
+    void confirm(ServiceLoad &load, TimePoint now) const;
     double ownOutstandingOf(const ServiceLoad &load, TimePoint now) const;
     double outstandingOf(const ServiceLoad &load, TimePoint now) const;
     double serviceSecondsOf(const ServiceLoad &load, TimePoint now) const;
--- a/src/flows/placement.cpp
+++ b/src/flows/placement.cpp
@@ -19,7 +19,7 @@
 }
 
 FlowPlacement::FlowPlacement(const FlowSettings &settings, const TargetDirectory &directory, ZoneId ownZone, uint64_t seed)
-    : directory(directory), ownZone(ownZone), chooser(settings, ownZone, seed), admission(settings), waiting(settings.waiting)
+    : settings(settings), directory(directory), ownZone(ownZone), chooser(settings, ownZone, seed), admission(settings), waiting(settings.waiting)
 {
 }
 
@@ -166,6 +166,7 @@
         ++targets;
     }
     occupancy.slots = std::max(slots / static_cast<double>(this->instances), zoneSlots / static_cast<double>(this->zoneInstances));
+    occupancy.isReportExpected = this->zoneInstances > 1 && this->settings.reports.loadPercent > 0;
     const auto reported = this->reportedServices.find(service);
     if (this->hasReports && reported != this->reportedServices.end()) {
         occupancy.reportedOutstanding = reported->second.held;
--- a/src/flows/placement.h
+++ b/src/flows/placement.h
@@ -87,6 +87,7 @@
     bool placeOnOtherShare(Placement &placement, const Route &route, const PlacementRequest &request, TimePoint now);
     ServiceOccupancy occupancyOf(const std::string &service, const CandidateFilter &filter) const;
 
+    const FlowSettings &settings;
     const TargetDirectory &directory;
     const ZoneId ownZone;
     TargetChooser chooser;
--- a/tests/waiting_test.cpp
+++ b/tests/waiting_test.cpp
@@ -251,6 +251,49 @@
     }
 }
 
+TEST_CASE("slow link of one instance: its service is not taken for overloaded while other members see no load")
+{
+    FlowSettings settings;
+    SharesFixture fixture(0, settings);
+    fixture.forwarder.setInstanceCounts(2, 2);
+    fixture.load(9);
+    CHECK(fixture.open(501).kind == PacketDecision::Kind::Reset); // the other members may not have reported yet
+    const auto reports = [&fixture](double held) {
+        ReportedLoad load;
+        load.reports = 1;
+        load.members = 1;
+        load.services[serviceIdOf("booking")] = { held, 1 };
+        fixture.forwarder.onReportedLoad(load);
+        fixture.run(milliseconds(40));
+    };
+    SECTION("no reports")
+    {
+        for (uint16_t port = 600; port < 604; ++port) {
+            fixture.run(milliseconds(500));
+            fixture.load(9); // the same requests, which are still outstanding
+        }
+        CHECK(fixture.open(502).kind == PacketDecision::Kind::Forward);
+    }
+    SECTION("reports of a few requests")
+    {
+        reports(0.1);
+        CHECK(fixture.open(502).kind == PacketDecision::Kind::Reset); // half of the zone sees the queue
+        fixture.forwarder.setInstanceCounts(9, 9);
+        ReportedLoad load;
+        load.reports = 8;
+        load.members = 8;
+        load.services[serviceIdOf("booking")] = { 0.4, 8 };
+        fixture.forwarder.onReportedLoad(load);
+        fixture.run(milliseconds(40));
+        CHECK(fixture.forwarder.serviceStates().at("booking").outstanding < 4);
+    }
+    SECTION("reports of a queue")
+    {
+        reports(9);
+        CHECK(fixture.open(502).kind == PacketDecision::Kind::Reset);
+    }
+}
+
 TEST_CASE("answers of several packets: only their times decide, not the number of outstanding requests")
 {
     const WaitingSettings settings;
