--- a/tests/evacuation_test.cpp
+++ b/tests/evacuation_test.cpp
@@ -61,8 +61,9 @@
         {
             CHECK(fixture.send(1, open.token, 1001, 5000, 100).target == open.target);
         }
-        SECTION("a copy of an opening packet moves")
+        SECTION("a copy of an opening packet moves, also when its target is answering")
         {
+            fixture.exchange(1, open.token, 1, milliseconds(10));
             CHECK(fixture.open(2).target->record.name == "far");
         }
         SECTION("a late copy of an open flow's opening packet neither moves nor resets the flow")
@@ -104,8 +105,9 @@
 TEST_CASE("an instance that has just started places no flow before the evacuations are known, for a limited time")
 {
     ForwarderFixture fixture(withEvacuations());
-    fixture.run(seconds(3)); // the store is away
-    fixture.load({ makeTarget("near") });
+    fixture.forwarder.onConfiguration(makeConfiguration(1), fixture.actions);
+    fixture.run(seconds(3)); // the store is away: the limit begins when only the evacuations are missing
+    fixture.load({ makeTarget("near") }, 2);
     CHECK_FALSE(fixture.forwarder.isReady());
     CHECK(fixture.open(1).kind == PacketDecision::Kind::Drop);
     CHECK(fixture.drops(DropReason::NoEvacuations) == 1);
--- a/tests/sharingevacuations_test.cpp
+++ b/tests/sharingevacuations_test.cpp
@@ -127,12 +127,20 @@
     SECTION("a member that was paused for longer than tombstones are kept gets the whole set")
     {
         zone.at(follower).isFrozen = true;
+        zone.isLost = [follower](size_t, size_t to) { return to == follower; };
         zone.end("z1");
         zone.run(zone.reading.sharing.removalRetention + seconds(3));
         zone.at(follower).store->setState(FakeStoreClient::State::Silent);
         zone.at(follower).isFrozen = false;
+        zone.isLost = [](size_t, size_t) { return false; };
         CHECK(zone.settle() < seconds(2));
     }
+    SECTION("the store refuses only the evacuations to an instance that starts: a member gives it the set")
+    {
+        zone.start(follower);
+        zone.at(follower).store->failingPrefix = evacuationPrefix;
+        CHECK(zone.settle() < milliseconds(500));
+    }
     SECTION("only the reading of evacuations fails at the start: the other resources are shared as before")
     {
         EvacuationZone fresh;
