Balancing: the share of a service's new flows that leaves its zone

Cause: a target of another zone is chosen when the best one at home has three times its load, as one instance sees it: 1/29 of the zone's requests, no delay between zones, no price, no view of the other zone's queues.

--- /dev/null
+++ b/src/balancing/zonewaiting.h
@@ -0,0 +1,86 @@
+#pragma once
+
+// Expected waiting times of a service's requests in each availability zone, from the response times and the outstanding requests of this instance's flows.
+
+#include "core/clock.h"
+#include "core/types.h"
+
+#include <map>
+#include <unordered_map>
+
+namespace hornbeam {
+
+/** What was observed at one target since it was last collected. */
+struct ObservedTraffic
+{
+    uint32_t requests = 0;     // begun
+    uint64_t bytes = 0;        // of requests and responses
+    uint32_t answers = 0;      // responses whose route has a base time
+    double excessSeconds = 0;  // sum of response times minus base times, over `answers`
+    double serviceSeconds = 0; // sum of base times
+
+    void add(const ObservedTraffic &other)
+    {
+        this->requests += other.requests;
+        this->bytes += other.bytes;
+        this->answers += other.answers;
+        this->excessSeconds += other.excessSeconds;
+        this->serviceSeconds += other.serviceSeconds;
+    }
+};
+
+/** The response time of each route without waiting: the lowest mean of a window of responses in the own zone. Not thread safe. */
+class BaseTimes
+{
+public:
+    /** Records a response and adds it to what was observed at its target. `isOwnZone` says where the target is. */
+    void add(const Endpoint &route, bool isOwnZone, Duration elapsed, ObservedTraffic &traffic);
+
+private:
+    struct Window
+    {
+        double seconds = 0;
+        uint32_t answers = 0;
+        double lowest = 0; // seconds; 0 before the first window is complete
+    };
+
+    std::unordered_map<Endpoint, Window> windows;
+};
+
+/** Averages for one service. Not thread safe. */
+class ZoneWaiting
+{
+public:
+    /** Adds what was observed in a zone in the last `interval`, and the number of requests without a response there now. */
+    void add(ZoneId zone, const ObservedTraffic &traffic, double outstanding, Duration interval, TimePoint now);
+
+    /** Moving average of this instance's requests without a response in a zone. */
+    double outstandingIn(ZoneId zone) const;
+    /** Mean response time in a zone minus the base time; 0 if there were too few responses lately. May be negative. */
+    Duration excessIn(ZoneId zone, TimePoint now) const;
+    /** Expected waiting time in a zone: the larger of excessIn() and the time that the outstanding requests of all instances take on the zone's slots. */
+    Duration waitingIn(ZoneId zone, double outstandingOfAll, uint32_t slots, TimePoint now) const;
+    /** Mean base time of the requests; 0 before the first responses. */
+    Duration serviceTime() const;
+    /** Moving average of this instance's requests in all zones. */
+    double requestsPerSecond() const;
+    /** Mean bytes of a request and its response; 0 before the first responses. */
+    double bytesPerRequest() const;
+
+private:
+    struct Averages
+    {
+        double outstanding = 0;
+        double requestsPerSecond = 0;
+        double excessSeconds = 0;
+        double answers = 0; // saturates at the averaging window
+        TimePoint answeredAt;
+    };
+
+    std::map<ZoneId, Averages> zones;
+    double serviceSeconds = 0;
+    double byteSum = 0;
+    double answerSum = 0;
+};
+
+} // namespace hornbeam
--- /dev/null
+++ b/src/peer/loadmessages.h
@@ -0,0 +1,46 @@
+#pragma once
+
+// Messages about the load of targets; see messages.h.
+
+#include "core/types.h"
+
+#include <vector>
+
+namespace hornbeam {
+
+/** The load of one service in one availability zone. */
+struct ZoneLoadEntry
+{
+    ZoneId zone = 0;
+    ServiceId service = 0;
+    uint32_t slots = 0;           // of the targets that may be given new flows
+    uint32_t outstanding = 0;     // requests of the zone's callers without a response, estimated for all instances of the zone
+    uint32_t waitingMs = 0;       // expected waiting time of a new request
+    uint32_t leavingPermille = 0; // share of the zone's new flows that is sent to other zones
+    uint32_t ageMs = 0;           // since the values were measured in their zone
+    uint32_t requests = 0;        // per second, of the zone's callers
+
+    template<typename Visitor>
+    void visitFields(Visitor &visit)
+    {
+        visit(this->zone, this->service, this->slots, this->outstanding, this->waitingMs, this->leavingPermille, this->ageMs, this->requests);
+    }
+};
+
+/** Load reports. A message to another zone is answered by one that repeats its sequence number, which measures the delay between the zones. */
+struct ZoneLoad
+{
+    MemberId sender = 0;
+    ZoneId zone = 0;       // of the sender
+    uint64_t sequence = 0; // increases with each message of the sender, also across restarts
+    uint64_t echo = 0;     // sequence number of the message that this one answers; 0 for none
+    std::vector<ZoneLoadEntry> entries;
+
+    template<typename Visitor>
+    void visitFields(Visitor &visit)
+    {
+        visit(this->sender, this->zone, this->sequence, this->echo, this->entries);
+    }
+};
+
+} // namespace hornbeam
