Flows: new flows go to the zone that the shares select

Change: FlowPlacement asks ZoneRouting for the zone first, then compares the targets in it; the comparison of all targets remains while nothing is decided or the zone has no candidate. Settings zone_*, counter placed_by_zone_share, gauges hornbeam_flow_zone_*, log event zone_share_changed.

--- a/src/apps/flowdaemon.cpp
+++ b/src/apps/flowdaemon.cpp
@@ -65,6 +65,7 @@
         , tickTimer(this->context)
         , stopTimer(this->context)
     {
+        this->forwarder.setZoneLoads(&this->store.zoneLoads());
     }
 
     int run()
--- a/src/apps/flowlog.cpp
+++ b/src/apps/flowlog.cpp
@@ -29,6 +29,10 @@
     fields["target_phase"] = nameOf(target.phase);
     fields["candidates"] = inputs.candidates;
     fields["opening"] = state.openings;
+    if (inputs.zoneChoice.zone.has_value()) {
+        fields["zone"] = *inputs.zoneChoice.zone;
+        fields["leaving_share"] = inputs.zoneChoice.leavingShare;
+    }
     this->log.add(event, fields);
 }
 
@@ -122,6 +126,25 @@
                     { "open_flows", target.openFlows } });
 }
 
+void FlowLog::onZoneShareChange(const ZoneShareChange &change)
+{
+    if (!this->log.admits("zone_share_changed")) {
+        return;
+    }
+    const auto millis = [](Duration duration) { return std::chrono::duration_cast<milliseconds>(duration).count(); };
+    Fields zones = Fields::array();
+    for (const ZoneShare &zone : change.destinations) {
+        zones.push_back({ { "zone", zone.zone }, { "share", zone.share }, { "cost_ms", millis(zone.cost) }, { "gain_ms", millis(zone.gain) } });
+    }
+    this->log.add("zone_share_changed",
+                  { { "service", change.service },
+                    { "before", change.before },
+                    { "leaving_share", change.share },
+                    { "own_waiting_ms", millis(change.ownWaiting) },
+                    { "expected_gain_ms", millis(change.expectedGain) },
+                    { "zones", std::move(zones) } });
+}
+
 int64_t FlowLog::ageMillis(TimePoint since) const
 {
     constexpr int64_t never = -1;
--- a/src/apps/flowlog.h
+++ b/src/apps/flowlog.h
@@ -21,6 +21,7 @@
     void onDropped(const FlowPacket &packet, DropReason reason) override;
     void onTargetChange(const TargetChange &change) override;
     void onTargetHealth(const Target &target, CheckOutcome outcome) override;
+    void onZoneShareChange(const ZoneShareChange &change) override;
 
 private:
     int64_t ageMillis(TimePoint since) const;
--- a/src/apps/flowpages.cpp
+++ b/src/apps/flowpages.cpp
@@ -45,6 +45,13 @@
         text += gauge("flow_targets{phase=\"" + std::string(nameOf(static_cast<TargetPhase>(i))) + "\"}", static_cast<double>(phases.at(i)));
     }
     text += gauge("flow_targets_silent", static_cast<double>(silent));
+    for (const auto &[service, shares] : forwarder.zoneRouting().decisions()) {
+        const std::string label = "{service=" + Json(service).dump(-1, ' ', false, Json::error_handler_t::replace) + "}";
+        const auto seconds = [](Duration duration) { return std::chrono::duration<double>(duration).count(); };
+        text += gauge("flow_zone_leaving_share" + label, shares.leavingShare());
+        text += gauge("flow_zone_own_waiting_seconds" + label, seconds(shares.ownWaiting()));
+        text += gauge("flow_zone_expected_gain_seconds" + label, seconds(shares.expectedGain()));
+    }
     return text;
 }
 
--- a/src/apps/flowstore.cpp
+++ b/src/apps/flowstore.cpp
@@ -5,6 +5,7 @@
 #include "apps/peerlink.h"
 #include "apps/storereadersettings.h"
 #include "apps/storereadings.h"
+#include "balancing/zoneloads.h"
 #include "membership/membership.h"
 #include "platform/flowobjects.h"
 #include "platform/platformclient.h"
@@ -73,6 +74,7 @@
               [this](const PeerMessage &message) { this->onMessage(message); }, [this](MemberId member) { return this->membership.endpointOf(member); })
         , rotation(RotationSettings{}, zoneIdOf(settings.zone))
         , sharing(makeStoreReaderSettings(*settings.flows).sharing, this->membership, clock, this->counters, observer)
+        , zoneLoads(makeZoneLoadSettings(*settings.flows), this->membership, clock, seed + 3)
         , client(context, this->counters, makePlatformSettings(settings))
         , targets(
               this->client, clock, seed, std::string(targetPrefix), [this](const ObjectReadResult &read) { this->onTargets(read); },
@@ -98,6 +100,7 @@
         Actions out;
         this->membership.tick(out);
         this->sharing.tick(out);
+        this->zoneLoads.tick(out);
         this->link.send(out);
         this->updateMembers();
         this->tickWatcher(StoreResource::Targets);
@@ -210,6 +213,8 @@
                     this->membership.onMessage(typed, out);
                 } else if constexpr (requires { this->sharing.onMessage(typed, out); }) {
                     this->sharing.onMessage(typed, out);
+                } else if constexpr (requires { this->zoneLoads.onMessage(typed, out); }) {
+                    this->zoneLoads.onMessage(typed, out);
                 } else {
                     this->counters.add(Counter::PeerPacketsRejected); // message type of instances that serve tables
                 }
@@ -307,6 +312,7 @@
     PeerLink link;
     RotationPolicy rotation;
     SharedStoreReader sharing;
+    ZoneLoads zoneLoads;
     PlatformClient client;
     ObjectWatcher targets;
     ObjectWatcher configurations;
@@ -380,6 +386,11 @@
     return this->impl->rotation.isOutOfRotation();
 }
 
+ZoneLoads &FlowStore::zoneLoads()
+{
+    return this->impl->zoneLoads;
+}
+
 size_t FlowStore::liveInstances() const
 {
     return this->impl->liveMembers;
--- a/src/apps/flowstore.h
+++ b/src/apps/flowstore.h
@@ -16,6 +16,8 @@
 
 namespace hornbeam {
 
+class ZoneLoads;
+
 class FlowStore
 {
 public:
@@ -50,6 +52,8 @@
 
     /** Whether this instance should be out of the routers' rotation, because its zone has lost more than half of its members. */
     bool isOutOfRotation() const;
+    /** Reports of the load of other zones. Valid until this object ends. */
+    ZoneLoads &zoneLoads();
     /** Number of live instances in all zones, including this one. */
     size_t liveInstances() const;
     /** Counters and gauges in the Prometheus text format. */
--- a/src/apps/storereadersettings.cpp
+++ b/src/apps/storereadersettings.cpp
@@ -97,4 +97,14 @@
     return settings;
 }
 
+ZoneLoadSettings makeZoneLoadSettings(const FlowServiceSettings &flows)
+{
+    constexpr int intervalsUntilTimeout = 4;
+    ZoneLoadSettings settings;
+    settings.isEnabled = flows.parts.zoneRouting;
+    settings.interval = flows.parts.zoneReportInterval;
+    settings.timeout = intervalsUntilTimeout * flows.parts.zoneReportInterval;
+    return settings;
+}
+
 } // namespace hornbeam
--- a/src/apps/storereadersettings.h
+++ b/src/apps/storereadersettings.h
@@ -3,6 +3,7 @@
 // Timeouts with which an instance that forwards flows reads the store, derived from the deployment's time limits, and the parsing of target objects.
 
 #include "apps/settings.h"
+#include "balancing/zoneloads.h"
 #include "sharing/sharingsettings.h"
 #include "sharing/targetview.h"
 #include "store/objectwatcher.h"
@@ -36,5 +37,7 @@
 StoreReaderSettings makeStoreReaderSettings(const FlowServiceSettings &flows);
 /** The settings of the forwarder, with a freshness lifetime of at least the interval at which the configuration is confirmed. Thread safe. */
 FlowSettings makeFlowSettings(const FlowServiceSettings &flows);
+/** The settings of the load reports between zones. Thread safe. */
+ZoneLoadSettings makeZoneLoadSettings(const FlowServiceSettings &flows);
 
 } // namespace hornbeam
--- a/src/flows/flowcounters.h
+++ b/src/flows/flowcounters.h
@@ -43,9 +43,10 @@
     PlacedOtherZone, // flows placed on a target in another availability zone
     ChecksBegun,     // connection checks of targets started
     ChecksFailed,
-    TargetsSilenced,  // targets marked silent
-    TargetsRecovered, // silent targets back in use
-    SendsRefused,     // datagrams rejected by the kernel
+    TargetsSilenced,   // targets marked silent
+    TargetsRecovered,  // silent targets back in use
+    SendsRefused,      // datagrams rejected by the kernel
+    PlacedByZoneShare, // flows placed in another availability zone because of the zone's share
     Count,
 };
 
--- a/src/flows/flowforwarder.cpp
+++ b/src/flows/flowforwarder.cpp
@@ -91,7 +91,8 @@
     this->tracker.addOpening(state, now);
     this->counters.add(previousTarget == nullptr ? FlowCounter::FlowsPlaced : FlowCounter::FlowsMoved);
     this->counters.add(FlowCounter::PlacedOtherZone, result.target->record.zone == this->ownZone ? 0 : 1);
-    this->observer.onPlaced(state, route, { this->routes.version(), this->configurationConfirmed, result.candidates });
+    this->counters.add(FlowCounter::PlacedByZoneShare, result.isByZoneShare && result.target->record.zone != this->ownZone ? 1 : 0);
+    this->observer.onPlaced(state, route, { this->routes.version(), this->configurationConfirmed, result.candidates, result.zoneChoice });
     return this->forwardTo(result.target, result.target->token);
 }
 
@@ -128,7 +129,9 @@
     if (observation.isProgress) {
         this->health.recordProgress(*target, now);
     }
+    target->observed.bytes += packet.contentBytes;
     if (route != nullptr && observation.answerTime > Duration{ 0 }) {
+        this->placement.zoneRouting().addAnswer(packet.flow.service, *target, observation.answerTime, observation.answerBytes);
         this->answers.add(packet.flow.service, *target, observation.answerTime);
         this->placement.admissionControl().addAnswer(*route, *target, { observation.answerTime, observation.answerBytes }, now);
     }
@@ -330,6 +333,11 @@
 
 //--- Timers
 
+void FlowForwarder::setZoneLoads(ZoneLoads *loads)
+{
+    this->placement.zoneRouting().setLoads(loads);
+}
+
 void FlowForwarder::setInstanceCount(size_t count)
 {
     this->instanceCount = count;
@@ -343,6 +351,9 @@
             this->beginCheck(state->target, out);
         }
     }
+    for (const ZoneShareChange &change : this->placement.updateZoneShares(now)) {
+        this->observer.onZoneShareChange(change);
+    }
     this->tracker.expireOutstanding(now - this->settings.outstandingTimeout);
     const auto answerTimeout = [this](const FlowKey &flow) {
         return std::max(this->settings.minAnswerTimeout, this->settings.answerTimeoutFactor * this->answers.meanOf(flow.service));
@@ -397,6 +408,11 @@
     return this->directory;
 }
 
+const ZoneRouting &FlowForwarder::zoneRouting() const
+{
+    return this->placement.zoneRouting();
+}
+
 const FlowCounters &FlowForwarder::flowCounters() const
 {
     return this->counters;
--- a/src/flows/flowforwarder.h
+++ b/src/flows/flowforwarder.h
@@ -54,6 +54,7 @@
     uint64_t version = 0;  // of the active configuration
     TimePoint confirmedAt; // when the store last confirmed that version; TimePoint{} if it has not done so yet
     size_t candidates = 0; // listed targets of the service
+    ZoneChoice zoneChoice; // by the shares of the zones
 };
 
 /** Receives decisions and state changes of the forwarder. Must not call back into the forwarder. */
@@ -69,6 +70,11 @@
     virtual void onDropped(const FlowPacket &packet, DropReason reason) = 0;
     virtual void onTargetChange(const TargetChange &change) = 0;
     virtual void onTargetHealth(const Target &target, CheckOutcome outcome) = 0;
+    /** The share of a service's new flows that is sent to other zones has changed noticeably. */
+    virtual void onZoneShareChange(const ZoneShareChange &change)
+    {
+        static_cast<void>(change);
+    }
 };
 
 //--- Forwarder
@@ -92,6 +98,8 @@
     void onTargetChanges(const std::vector<TargetRecord> &updated, const std::vector<std::string> &removed, TimePoint requestedAt, FlowActions &out);
     /** Processes the result of a connection check. */
     void endCheck(const TargetPtr &target, CheckOutcome outcome, FlowActions &out);
+    /** Sets where reports of other zones' load come from; may be null. Precondition: `loads` outlives the forwarder's use. */
+    void setZoneLoads(ZoneLoads *loads);
     /** Sets the number of live instances in all zones, including this one. */
     void setInstanceCount(size_t count);
     /** Detects unanswered packets, starts due checks and expires old flows. Call about every 20 ms. */
@@ -101,6 +109,8 @@
     bool isReady() const;
     const RouteTable &routeTable() const;
     const TargetDirectory &targetDirectory() const;
+    /** The shares of the zones. */
+    const ZoneRouting &zoneRouting() const;
     const FlowCounters &flowCounters() const;
     FlowCounters &flowCounters();
     /** Histogram of the time from a request to the first acknowledgement of its answer. */
--- a/src/flows/flowsettings.h
+++ b/src/flows/flowsettings.h
@@ -42,6 +42,14 @@
     uint32_t maxSlowness = 8;                 // upper bound of the factor by which a target counts as slower than the mean of its routes
     uint32_t minAnswersForSlowness = 4;       // answers of a target before its slowness is taken into account
 
+    // share of new flows that leaves the own zone; see src/balancing/zoneshares.h
+    bool zoneRouting = true;                         // whether the share is decided from waiting times; otherwise only by ownZonePercent
+    Duration zoneMinGain = milliseconds(10);         // expected gain of a flow above which flows leave the own zone
+    Duration zoneBytePrice = milliseconds(5);        // waiting time of a caller that is accepted in order not to send 1,000 bytes between zones
+    uint32_t zoneMaxUsePercent = 85;                 // outstanding requests per slot above which a zone is sent no more flows of others
+    uint32_t zoneStepPercent = 2;                    // maximum increase of the share in 250 ms beyond what the own zone can't serve
+    Duration zoneReportInterval = milliseconds(500); // between two reports of an instance to another zone
+
     // admission of new flows; a congestion of 100 % means that answers take as long as the latency targets of their routes
     uint32_t congestionLimitPercent = 70;  // congestion of a target above which new flows to it are rejected
     uint32_t overloadLimitPercent = 10;    // the same while a large share of a service's new flows is being rejected
--- a/src/flows/flowtracker.cpp
+++ b/src/flows/flowtracker.cpp
@@ -103,6 +103,7 @@
         if (state.unansweredSince == TimePoint{}) {
             state.unansweredSince = now;
             this->beginOutstanding(state, now);
+            ++state.target->observed.requests;
             this->requests.push_back({ state.flow, now });
         }
     } else if (packet.contentBytes > 0 && !observation.isProgress) {
--- a/src/flows/flowtracker.h
+++ b/src/flows/flowtracker.h
@@ -45,7 +45,7 @@
     uint32_t answerBytes = 0;      // of the answer, as far as this packet acknowledges it
 };
 
-/** Updates Target::openFlows and Target::outstandingRequests. Not thread safe: owned by one event loop. */
+/** Updates Target::openFlows and Target::outstandingRequests, and counts requests in Target::observed. Not thread safe: owned by one event loop. */
 class FlowTracker
 {
 public:
--- a/src/flows/placement.cpp
+++ b/src/flows/placement.cpp
@@ -11,7 +11,7 @@
 }
 
 FlowPlacement::FlowPlacement(const FlowSettings &settings, const TargetDirectory &directory, ZoneId ownZone, uint64_t seed)
-    : directory(directory), chooser(settings, ownZone, seed), admission(settings)
+    : directory(directory), chooser(settings, ownZone, seed), admission(settings), zones(settings, directory, ownZone)
 {
 }
 
@@ -28,9 +28,10 @@
     const std::vector<TargetPtr> &candidates = this->directory.targetsOf(placement.service);
     placement.candidates = candidates.size();
     const CandidateFilter filter{ this->rules, now };
-    placement.target = this->chooser.choose(candidates, request.previousTarget, filter);
+    placement.zoneChoice = this->zones.choose(placement.service, request.flow);
+    placement.target = this->choose(candidates, request.previousTarget, filter, placement);
     if (placement.target == nullptr && request.previousTarget != nullptr) {
-        placement.target = this->chooser.choose(candidates, nullptr, filter);
+        placement.target = this->choose(candidates, nullptr, filter, placement);
     }
     if (placement.target == nullptr) {
         placement.restriction = filter.restriction();
@@ -47,6 +48,19 @@
     return placement;
 }
 
+// The zone's shares decide first. If they don't, or the zone has no candidate, targets of all zones are compared.
+TargetPtr FlowPlacement::choose(const std::vector<TargetPtr> &candidates, const TargetPtr &excluded, const CandidateFilter &filter, Placement &placement)
+{
+    if (placement.zoneChoice.zone.has_value()) {
+        TargetPtr target = this->chooser.chooseInZone(candidates, excluded, filter, *placement.zoneChoice.zone);
+        if (target != nullptr) {
+            placement.isByZoneShare = true;
+            return target;
+        }
+    }
+    return this->chooser.choose(candidates, excluded, filter);
+}
+
 void FlowPlacement::recordOpening(const Target &target, TimePoint now)
 {
     for (PlacementRule *rule : this->rules) {
@@ -64,4 +78,19 @@
     return this->admission;
 }
 
+ZoneRouting &FlowPlacement::zoneRouting()
+{
+    return this->zones;
+}
+
+const ZoneRouting &FlowPlacement::zoneRouting() const
+{
+    return this->zones;
+}
+
+std::vector<ZoneShareChange> FlowPlacement::updateZoneShares(TimePoint now)
+{
+    return this->zones.tick(this->rules, now);
+}
+
 } // namespace hornbeam
--- a/src/flows/placement.h
+++ b/src/flows/placement.h
@@ -8,6 +8,7 @@
 #include "flows/routetable.h"
 #include "flows/targetchooser.h"
 #include "flows/targetdirectory.h"
+#include "flows/zonerouting.h"
 
 #include <string>
 #include <vector>
@@ -36,9 +37,11 @@
 struct Placement
 {
     PlacementOutcome outcome = PlacementOutcome::NoTarget;
-    TargetPtr target;      // also set for Overloaded
-    std::string service;   // empty if no share of the route has a weight
-    size_t candidates = 0; // listed and missing targets of the service
+    TargetPtr target;           // also set for Overloaded
+    std::string service;        // empty if no share of the route has a weight
+    size_t candidates = 0;      // listed and missing targets of the service
+    ZoneChoice zoneChoice;      // what the shares of the zones say
+    bool isByZoneShare = false; // the target is in the zone of `zoneChoice`
     AdmissionVerdict verdict;
     CandidateStatus restriction = CandidateStatus::Eligible; // for Restricted: of one of the excluded targets
 };
@@ -60,11 +63,18 @@
     CandidateStatus statusOf(const Target &target, TimePoint now) const;
 
     AdmissionControl &admissionControl();
+    ZoneRouting &zoneRouting();
+    const ZoneRouting &zoneRouting() const;
+    /** Updates the shares of the zones if that is due. Returns those that have changed noticeably. */
+    std::vector<ZoneShareChange> updateZoneShares(TimePoint now);
 
 private:
+    TargetPtr choose(const std::vector<TargetPtr> &candidates, const TargetPtr &excluded, const CandidateFilter &filter, Placement &placement);
+
     const TargetDirectory &directory;
     TargetChooser chooser;
     AdmissionControl admission;
+    ZoneRouting zones;
     std::vector<PlacementRule *> rules;
 };
 
--- a/src/flows/targetchooser.cpp
+++ b/src/flows/targetchooser.cpp
@@ -12,12 +12,17 @@
 TargetPtr TargetChooser::choose(const std::vector<TargetPtr> &targets, const TargetPtr &excluded, const CandidateFilter &filter)
 {
     for (const TargetPhase phase : { TargetPhase::Ready, TargetPhase::Missing }) {
-        TargetPtr best = this->leastLoaded(targets, excluded, filter, phase, false);
+        TargetPtr best = this->leastLoaded(targets, excluded, filter, phase, false, std::nullopt);
         if (best != nullptr) {
             return best;
         }
     }
-    return this->leastLoaded(targets, excluded, filter, TargetPhase::Ready, true);
+    return this->leastLoaded(targets, excluded, filter, TargetPhase::Ready, true, std::nullopt);
+}
+
+TargetPtr TargetChooser::chooseInZone(const std::vector<TargetPtr> &targets, const TargetPtr &excluded, const CandidateFilter &filter, ZoneId zone)
+{
+    return this->leastLoaded(targets, excluded, filter, TargetPhase::Ready, false, zone);
 }
 
 double TargetChooser::loadOf(const Target &target) const
@@ -30,7 +35,7 @@
 }
 
 TargetPtr TargetChooser::leastLoaded(const std::vector<TargetPtr> &targets, const TargetPtr &excluded, const CandidateFilter &filter, TargetPhase phase,
-                                     bool isIdentityUnverified)
+                                     bool isIdentityUnverified, std::optional<ZoneId> zone)
 {
     TargetPtr best;
     double bestLoad = 0;
@@ -39,7 +44,7 @@
         // A missing target that had drained has ended, or is about to. Another process may have its name and address already.
         const bool hasDrained = phase == TargetPhase::Missing && target->record.isDraining;
         if (target->phase != phase || hasDrained || target->isIdentityUnverified != isIdentityUnverified || (target->isSilent() && !isIdentityUnverified)
-            || target->isTokenTaken || target == excluded) {
+            || target->isTokenTaken || target == excluded || (zone.has_value() && target->record.zone != *zone)) {
             continue;
         }
         const double load = this->loadOf(*target);
--- a/src/flows/targetchooser.h
+++ b/src/flows/targetchooser.h
@@ -6,6 +6,7 @@
 #include "flows/placementrule.h"
 #include "flows/targetdirectory.h"
 
+#include <optional>
 #include <random>
 
 namespace hornbeam {
@@ -24,11 +25,14 @@
      * `excluded` may be null. Targets that the filter excludes are not used at all.
      */
     TargetPtr choose(const std::vector<TargetPtr> &targets, const TargetPtr &excluded, const CandidateFilter &filter);
+    /** The same among the ready targets of one zone. Returns null if none of them accepts new flows. */
+    TargetPtr chooseInZone(const std::vector<TargetPtr> &targets, const TargetPtr &excluded, const CandidateFilter &filter, ZoneId zone);
+    /** The load by which targets are compared. */
+    double loadOf(const Target &target) const;
 
 private:
-    double loadOf(const Target &target) const;
     TargetPtr leastLoaded(const std::vector<TargetPtr> &targets, const TargetPtr &excluded, const CandidateFilter &filter, TargetPhase phase,
-                          bool isIdentityUnverified);
+                          bool isIdentityUnverified, std::optional<ZoneId> zone);
 
     const FlowSettings &settings;
     const ZoneId ownZone;
--- a/src/flows/targetdirectory.h
+++ b/src/flows/targetdirectory.h
@@ -4,6 +4,7 @@
 //
 // Sections: records | directory
 
+#include "balancing/zonewaiting.h"
 #include "core/clock.h"
 #include "core/types.h"
 #include "flows/flowpacket.h"
@@ -62,6 +63,9 @@
     double slowness = 1;  // moving average of its answer times relative to the means of their routes
     uint32_t answers = 0; // number of measured answers
 
+    // updated by FlowForwarder, collected by ZoneRouting
+    ObservedTraffic observed; // since it was last collected
+
     // updated by AdmissionControl
     double congestion = 0; // when last measured; see AdmissionControl::congestionOf
     TimePoint congestionMeasuredAt;
