--- a/src/balancing/zoneshares.cpp
+++ b/src/balancing/zoneshares.cpp
@@ -13,7 +13,6 @@
 constexpr double returnFactor = 0.25;           // part of the flows that may return per update
 constexpr double maxLeavingOfDestination = .05; // a zone that sends more of its own flows away is sent none, so that zones don't exchange flows
 constexpr double minShare = 0.01;               // a falling share below it becomes 0
-constexpr double fullStepGain = 2;              // gain, relative to the threshold, from which the share rises by the maximum step
 constexpr double bytesPerKilobyte = 1000;
 
 double useOf(const ZoneState &zone)
