Metrics server: pages with parameters

Cause: the explanation of a flow that does not exist yet needs a caller and a route.

Change: MetricsServer::addQueryPage decodes NAME=VALUE pairs and lets the page choose the status; other pages still have no parameters. httpRead returns responses of any status, so that hornbeamctl can print what is wrong.

--- a/src/core/percentencoding.cpp
+++ b/src/core/percentencoding.cpp
@@ -1,6 +1,6 @@
 #include "core/percentencoding.h"
 
-#include <string_view>
+#include <charconv>
 
 namespace hornbeam {
 
@@ -21,4 +21,26 @@
     return encoded;
 }
 
+std::optional<std::string> percentDecode(std::string_view text)
+{
+    constexpr size_t digits = 2;
+    constexpr int base = 16;
+    std::string decoded;
+    for (size_t i = 0; i < text.size(); ++i) {
+        if (text[i] != '%') {
+            decoded += text[i];
+            continue;
+        }
+        const std::string_view code = text.substr(i + 1, digits);
+        uint8_t byte = 0;
+        const auto [end, error] = std::from_chars(code.data(), code.data() + code.size(), byte, base);
+        if (code.size() != digits || error != std::errc() || end != code.data() + code.size()) {
+            return std::nullopt;
+        }
+        decoded += static_cast<char>(byte);
+        i += digits;
+    }
+    return decoded;
+}
+
 } // namespace hornbeam
--- a/src/store/httpget.cpp
+++ b/src/store/httpget.cpp
@@ -38,7 +38,7 @@
 };
 }
 
-std::optional<std::string> httpGet(const Endpoint &endpoint, const std::string &path, Duration timeout)
+std::optional<HttpPage> httpRead(const Endpoint &endpoint, const std::string &path, Duration timeout)
 {
     constexpr unsigned httpVersion = 11;
     Exchange exchange;
@@ -49,10 +49,14 @@
     const tcp::endpoint remote(boost::asio::ip::address_v4(endpoint.address), endpoint.port);
     exchange.stream.async_connect(remote, [&exchange](const error_code &error) { exchange.onConnected(error); });
     exchange.context.run();
-    if (!exchange.isDone || exchange.response.result() != http::status::ok) {
-        return std::nullopt;
-    }
-    return exchange.response.body();
+    return exchange.isDone ? std::optional(HttpPage{ exchange.response.result_int(), exchange.response.body() }) : std::nullopt;
+}
+
+std::optional<std::string> httpGet(const Endpoint &endpoint, const std::string &path, Duration timeout)
+{
+    constexpr unsigned ok = 200;
+    const std::optional<HttpPage> page = httpRead(endpoint, path, timeout);
+    return page.has_value() && page->status == ok ? std::optional(page->body) : std::nullopt;
 }
 
 } // namespace hornbeam
--- a/src/transport/metricsserver.cpp
+++ b/src/transport/metricsserver.cpp
@@ -1,11 +1,15 @@
 #include "transport/metricsserver.h"
 
+#include "core/percentencoding.h"
+
+#include <algorithm>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/strand.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
-#include <map>
+#include <optional>
+#include <string_view>
 
 namespace hornbeam {
 
@@ -21,10 +25,29 @@
 struct Page
 {
     PageRenderer render;
-    CheckFunction check; // empty for text pages
+    CheckFunction check;  // empty for text pages
+    QueryRenderer answer; // only of pages with parameters
 };
 using Pages = std::map<std::string, Page>;
 
+// std::nullopt if the text is not a list of NAME=VALUE, separated by &
+std::optional<PageParameters> parseParameters(std::string_view query)
+{
+    PageParameters parameters;
+    while (!query.empty()) {
+        const size_t end = std::min(query.find('&'), query.size());
+        const std::string_view item = query.substr(0, end);
+        const size_t separator = item.find('=');
+        const std::optional<std::string> value = separator == std::string_view::npos ? std::nullopt : percentDecode(item.substr(separator + 1));
+        if (!value.has_value()) {
+            return std::nullopt;
+        }
+        parameters[std::string(item.substr(0, separator))] = *value;
+        query.remove_prefix(std::min(end + 1, query.size()));
+    }
+    return parameters;
+}
+
 /** Serves one request, then closes the connection. */
 class PageSession : public std::enable_shared_from_this<PageSession>
 {
@@ -47,7 +70,13 @@
 private:
     void respond()
     {
-        const auto page = this->pages->find(std::string(this->parser.get().target()));
+        const std::string target(this->parser.get().target());
+        const size_t queryStart = std::min(target.find('?'), target.size());
+        auto page = this->pages->find(target);
+        if (page == this->pages->end()) {
+            page = this->pages->find(target.substr(0, queryStart));
+            page = page != this->pages->end() && page->second.answer ? page : this->pages->end(); // other pages have no parameters
+        }
         const bool isGet = this->parser.get().method() == http::verb::get;
         if (!isGet) {
             this->response.result(http::status::method_not_allowed);
@@ -56,6 +85,12 @@
             this->response.body() = "no such page\n";
         } else if (page->second.check) {
             this->response.result(page->second.check() ? http::status::ok : http::status::service_unavailable);
+        } else if (page->second.answer) {
+            const std::optional<PageParameters> parameters = parseParameters(std::string_view(target).substr(std::min(queryStart + 1, target.size())));
+            const PageResponse answer = parameters.has_value() ? page->second.answer(*parameters) : PageResponse{ 400, "the parameters can't be decoded\n" };
+            this->response.result(answer.status);
+            this->response.set(http::field::content_type, "text/plain");
+            this->response.body() = answer.text;
         } else {
             this->response.set(http::field::content_type, "text/plain; version=0.0.4");
             this->response.body() = page->second.render();
@@ -143,6 +178,11 @@
     (*this->impl->pages)[path].render = std::move(renderer);
 }
 
+void MetricsServer::addQueryPage(const std::string &path, QueryRenderer renderer)
+{
+    (*this->impl->pages)[path].answer = std::move(renderer);
+}
+
 void MetricsServer::addCheck(const std::string &path, CheckFunction check)
 {
     (*this->impl->pages)[path].check = std::move(check);
