Explain: where a flow that does not exist yet would go

New end-to-end tests: the page of a daemon, and an instance of a zone without targets that decides by the reports of the other zone.

--- a/src/apps/flowdaemon.cpp
+++ b/src/apps/flowdaemon.cpp
@@ -5,6 +5,7 @@
 #include "apps/flowlog.h"
 #include "apps/flowpages.h"
 #include "apps/flowstore.h"
+#include "apps/placementpage.h"
 #include "apps/storereadersettings.h"
 #include "flows/flowforwarder.h"
 #include "platform/packetheader.h"
@@ -112,6 +113,7 @@
         this->metrics.addPage("/targets", [this] { return targetsPage(this->forwarder, this->clock.now()); });
         this->metrics.addPage("/routes", [this] { return routesPage(this->forwarder); });
         this->metrics.addPage("/flows", [this] { return flowsPage(this->forwarder, this->clock.now()); });
+        this->metrics.addQueryPage("/explain", [this](const PageParameters &parameters) { return placementPage(this->forwarder, parameters); });
         this->metrics.addPage("/members", [this] { return this->store.membersPage(); });
         this->metrics.beginAccept();
         this->store.beginReceive();
--- a/src/apps/hornbeamctl.cpp
+++ b/src/apps/hornbeamctl.cpp
@@ -4,6 +4,7 @@
 
 #include "apps/ctlcommands.h"
 #include "apps/flowexplain.h"
+#include "apps/placementpage.h"
 #include "apps/tablecells.h"
 #include "store/httpget.h"
 
@@ -34,7 +35,8 @@
   hornbeamctl show booking --csv > booking.csv
   hornbeamctl diff booking booking.csv
   hornbeamctl apply booking booking.csv              (- reads the standard input)
-  hornbeamctl explain "10.0.0.7:40001>198.18.0.1:443" --from 10.1.0.10:9464)";
+  hornbeamctl explain "10.0.0.7:40001>198.18.0.1:443" --from 10.1.0.10:9464
+  hornbeamctl explain --caller 10.0.0.7:40001 --route order --from 10.1.0.10:9464)";
 
 //--- Arguments
 
@@ -52,6 +54,8 @@
     std::string file;
     std::string from;
     std::string flow;
+    std::string caller;
+    std::string route;
     std::vector<std::string> cells;
     uint32_t port = 0;
     uint64_t version = 0;
@@ -137,9 +141,44 @@
     return code;
 }
 
+// where a flow that does not exist yet would go now
+ExitCode runPlacement(const Arguments &arguments)
+{
+    constexpr Duration timeout = seconds(5);
+    constexpr unsigned ok = 200;
+    Endpoint endpoint;
+    if (!parseEndpoint(arguments.from, endpoint)) {
+        std::cerr << "--from " << arguments.from << " is not a.b.c.d:port\n";
+        return ExitCode::Usage;
+    }
+    const std::optional<HttpPage> page = httpRead(endpoint, placementPath(arguments.caller, arguments.route), timeout);
+    if (!page.has_value()) {
+        std::cerr << "the instance at " << arguments.from << " gave no answer\n";
+        return ExitCode::Failed;
+    }
+    const std::string text = placementText(page->body);
+    if (page->status != ok || text.empty()) {
+        std::cerr << (page->status == ok ? "the instance does not know this page\n" : page->body);
+        return ExitCode::Failed;
+    }
+    std::cout << (arguments.isJson ? page->body : text);
+    return ExitCode::Done;
+}
+
 // what an instance believes of one flow, of its route and of its target
 ExitCode runExplain(const Arguments &arguments)
 {
+    if (!arguments.caller.empty() || !arguments.route.empty()) {
+        if (arguments.caller.empty() || arguments.route.empty() || !arguments.flow.empty()) {
+            std::cerr << "explain needs either a flow or both --caller and --route\n";
+            return ExitCode::Usage;
+        }
+        return runPlacement(arguments);
+    }
+    if (arguments.flow.empty()) {
+        std::cerr << "explain needs either a flow or both --caller and --route\n";
+        return ExitCode::Usage;
+    }
     ExitCode code = ExitCode::Done;
     const std::optional<std::string> flows = readPage(arguments, "/flows", code);
     const std::optional<std::string> targets = flows.has_value() ? readPage(arguments, "/targets", code) : std::nullopt;
@@ -273,9 +312,10 @@
     addPageVerb("targets", "print the targets that an instance knows, as JSON");
     addPageVerb("routes", "print the routes that an instance has in force, as JSON");
     addPageVerb("flows", "print the flows that an instance saw last, as JSON");
-    addPageVerb("explain", "print what an instance believes of one flow, its route and its target")
-        ->add_option("flow", arguments.flow, "as the logs name it: CALLER:PORT>ADDRESS:PORT")
-        ->required();
+    CLI::App *explain = addPageVerb("explain", "print what an instance believes of one flow, its route and its target, or where a new flow would go");
+    explain->add_option("flow", arguments.flow, "as the logs name it: CALLER:PORT>ADDRESS:PORT");
+    explain->add_option("--caller", arguments.caller, "a.b.c.d:port of the caller of a flow that does not exist yet");
+    explain->add_option("--route", arguments.route, "its route: a name, or the address as a.b.c.d:port");
 }
 }
 
--- a/src/flows/flowforwarder.cpp
+++ b/src/flows/flowforwarder.cpp
@@ -408,6 +408,11 @@
     return this->directory;
 }
 
+PlacementPreview FlowForwarder::previewPlacement(const Route &route, const FlowKey &flow) const
+{
+    return this->placement.preview(route, flow, this->clock.now());
+}
+
 const ZoneRouting &FlowForwarder::zoneRouting() const
 {
     return this->placement.zoneRouting();
--- a/src/flows/flowforwarder.h
+++ b/src/flows/flowforwarder.h
@@ -109,6 +109,8 @@
     bool isReady() const;
     const RouteTable &routeTable() const;
     const TargetDirectory &targetDirectory() const;
+    /** The placement of a flow that does not exist yet. Changes nothing. */
+    PlacementPreview previewPlacement(const Route &route, const FlowKey &flow) const;
     /** The shares of the zones. */
     const ZoneRouting &zoneRouting() const;
     const FlowCounters &flowCounters() const;
--- a/src/flows/placement.cpp
+++ b/src/flows/placement.cpp
@@ -21,6 +21,16 @@
 }
 
 Placement FlowPlacement::place(const Route &route, const PlacementRequest &request, TimePoint now)
+{
+    Placement placement = this->decide(route, request, now);
+    if (placement.outcome == PlacementOutcome::Placed) {
+        this->recordOpening(*placement.target, now);
+    }
+    return placement;
+}
+
+// Reports nothing to the rules.
+Placement FlowPlacement::decide(const Route &route, const PlacementRequest &request, TimePoint now)
 {
     Placement placement;
     const std::string *service = RouteTable::serviceOf(route, request.flow);
@@ -42,12 +52,22 @@
         placement.verdict = this->admission.admit(route, placement.service, *placement.target, now);
     }
     placement.outcome = placement.verdict.isAdmitted ? PlacementOutcome::Placed : PlacementOutcome::Overloaded;
-    if (placement.outcome == PlacementOutcome::Placed) {
-        this->recordOpening(*placement.target, now);
-    }
     return placement;
 }
 
+PlacementPreview FlowPlacement::preview(const Route &route, const FlowKey &flow, TimePoint now) const
+{
+    PlacementPreview preview;
+    FlowPlacement copy(*this); // the choice among equal loads and admission control change their state
+    preview.placement = copy.decide(route, { flow, nullptr, false }, now);
+    for (const TargetPtr &target : this->directory.targetsOf(preview.placement.service)) {
+        const CandidateStatus status = this->statusOf(*target, now);
+        const bool isUsable = target->phase == TargetPhase::Ready && !target->isSilent() && !target->isTokenTaken && status == CandidateStatus::Eligible;
+        preview.candidates.push_back({ target, this->chooser.loadOf(*target), status, isUsable });
+    }
+    return preview;
+}
+
 // The zone's shares decide first. If they don't, or the zone has no candidate, targets of all zones are compared.
 TargetPtr FlowPlacement::choose(const std::vector<TargetPtr> &candidates, const TargetPtr &excluded, const CandidateFilter &filter, Placement &placement)
 {
--- a/src/flows/placement.h
+++ b/src/flows/placement.h
@@ -46,6 +46,22 @@
     CandidateStatus restriction = CandidateStatus::Eligible; // for Restricted: of one of the excluded targets
 };
 
+/** A target as seen by the placement of a new flow. */
+struct CandidateView
+{
+    TargetPtr target;
+    double load = 0;                                    // by which targets are compared
+    CandidateStatus status = CandidateStatus::Eligible; // by the rules
+    bool isUsable = false;                              // ready, its health and identity are not in doubt, and not excluded by a rule
+};
+
+/** A placement that was not carried out. */
+struct PlacementPreview
+{
+    Placement placement;
+    std::vector<CandidateView> candidates; // sorted by name
+};
+
 /** Not thread safe: owned by one event loop. */
 class FlowPlacement
 {
@@ -57,6 +73,8 @@
     void addRule(PlacementRule &rule);
     /** Chooses the target of a new flow. A target that is placed is reported to the rules. */
     Placement place(const Route &route, const PlacementRequest &request, TimePoint now);
+    /** What place() would return now for a new flow, and the values that it would compare. Changes nothing. */
+    PlacementPreview preview(const Route &route, const FlowKey &flow, TimePoint now) const;
     /** Reports a repeated opening packet to the rules that is sent to the same target as before. */
     void recordOpening(const Target &target, TimePoint now);
     /** Why the rules exclude a target from new flows; Eligible if they don't. */
@@ -69,6 +87,7 @@
     std::vector<ZoneShareChange> updateZoneShares(TimePoint now);
 
 private:
+    Placement decide(const Route &route, const PlacementRequest &request, TimePoint now);
     TargetPtr choose(const std::vector<TargetPtr> &candidates, const TargetPtr &excluded, const CandidateFilter &filter, Placement &placement);
 
     const TargetDirectory &directory;
--- a/tests/flowdaemon_test.cpp
+++ b/tests/flowdaemon_test.cpp
@@ -131,12 +131,12 @@
 struct FlowProcess
 {
     FlowProcess(const std::string &name, const Endpoint &store, const std::string &host = "127.0.0.1", uint16_t peerPort = freePort(),
-                const std::vector<std::string> &seeds = {})
+                const std::vector<std::string> &seeds = {}, const std::string &zone = "here")
         : file(std::filesystem::temp_directory_path() / (name + std::to_string(::getpid()) + ".json"))
     {
         const json settings{
             { "name", name },
-            { "zone", "here" },
+            { "zone", zone },
             { "address", host },
             { "peer_port", peerPort },
             { "metrics_port", this->metrics.port },
@@ -269,6 +269,14 @@
         REQUIRE(page.has_value());
         CHECK(page->find("hornbeam_flow_resets_total{reason=\"route_unknown\"} 1") != std::string::npos);
     }
+    SECTION("the placement of a flow that does not exist yet is explained without sending anything to the target")
+    {
+        const auto page = httpRead(first.metrics, "/explain?caller=127.0.0.1%3A40002&route=198.18.0.1%3A443", seconds(1));
+        REQUIRE(page.has_value());
+        CHECK(page->status == 200);
+        CHECK(json::parse(page->body)["verdict"]["target"] == "i-1f");
+        CHECK(httpRead(first.metrics, "/explain?caller=127.0.0.1&route=198.18.0.1%3A443", seconds(1))->status == 400);
+    }
     SECTION("the configuration stays fresh while the store reports no changes")
     {
         std::this_thread::sleep_for(seconds(7)); // until the second long poll is in progress
@@ -318,6 +326,17 @@
     // the instance that receives requests reads the store; the other one does not
     REQUIRE(waitFor([&] { return members(first)["reads_targets"] != members(second)["reads_targets"]; }));
 
+    SECTION("an instance of a zone without targets decides by the reports of the other zone that all flows leave")
+    {
+        const FlowProcess third("third", store, "127.0.0.5", peerPort, seeds, "there");
+        const auto shows = [](const FlowProcess &process, const std::string &line) {
+            const auto page = httpGet(process.metrics, "/metrics", seconds(1));
+            return page.has_value() && page->find(line) != std::string::npos;
+        };
+        CHECK(waitFor([&] { return shows(third, "hornbeam_flow_zone_leaving_share{service=\"booking\"} 1.0"); }));
+        CHECK(shows(first, "hornbeam_flow_zone_leaving_share{service=\"booking\"} 0.0"));
+        CHECK(shows(third, "peer_packets_rejected_total 0"));
+    }
     SECTION("the state page shows when each instance calls the store next")
     {
         const bool isFirstReader = members(first)["reads_targets"] == true;
