--- a/src/apps/flowlog.h
+++ b/src/apps/flowlog.h
@@ -23,6 +23,7 @@
     void onTargetChange(const TargetChange &change) override;
     void onTargetHealth(const Target &target, CheckOutcome outcome) override;
     void onTargetSuspected(const Target &target, Duration grace) override;
+    void onZoneShareChange(const ZoneShareChange &change) override;
 
 private:
     int64_t ageMillis(TimePoint since) const;
--- a/src/apps/flowstore.cpp
+++ b/src/apps/flowstore.cpp
@@ -7,6 +7,7 @@
 #include "apps/storereadersettings.h"
 #include "apps/storereadings.h"
 #include "balancing/loadreports.h"
+#include "balancing/zoneloads.h"
 #include "membership/membership.h"
 #include "platform/flowobjects.h"
 #include "platform/platformclient.h"
@@ -70,6 +71,7 @@
         , overload(*settings.flows, this->membership.self(), clock, this->counters, this->logEvent)
         , sharing(makeStoreReaderSettings(*settings.flows).sharing, this->membership, clock, this->counters, observer)
         , loadReports(settings.flows->parts.reports, this->membership, clock)
+        , zoneLoads(makeZoneLoadSettings(*settings.flows), this->membership, clock, seed + 3)
         , client(context, this->counters, makePlatformSettings(settings))
         , seeds(
               this->client, clock, seed + 2, settings.zone, Endpoint{ settings.address, settings.peerPort },
@@ -112,6 +114,7 @@
         this->membership.tick(out);
         this->sharing.tick(out);
         this->loadReports.tick(this->ownLoad, out);
+        this->zoneLoads.tick(out);
         this->link.send(out);
         this->updateMembers();
         for (const StoreResource resource : this->readings) {
@@ -244,6 +247,8 @@
                     this->sharing.onMessage(typed, out);
                 } else if constexpr (requires { this->loadReports.onMessage(typed); }) {
                     this->loadReports.onMessage(typed);
+                } else if constexpr (requires { this->zoneLoads.onMessage(typed, out); }) {
+                    this->zoneLoads.onMessage(typed, out);
                 } else {
                     this->counters.add(Counter::PeerPacketsRejected); // message type of instances that serve tables
                 }
@@ -344,6 +349,7 @@
     SharedStoreReader sharing;
     LoadReports loadReports;
     OwnLoad ownLoad; // to be reported
+    ZoneLoads zoneLoads;
     PlatformClient client;
     std::vector<StoreResource> readings; // that the deployment uses
     std::array<std::unique_ptr<ObjectWatcher>, static_cast<size_t>(StoreResource::Count)> watchers;
@@ -418,6 +424,11 @@
     return this->impl->rotation.isOutOfRotation() || this->impl->overload.isOut();
 }
 
+ZoneLoads &FlowStore::zoneLoads()
+{
+    return this->impl->zoneLoads;
+}
+
 size_t FlowStore::liveInstances() const
 {
     return this->impl->liveMembers;
--- a/src/apps/flowstore.h
+++ b/src/apps/flowstore.h
@@ -18,6 +18,8 @@
 
 namespace hornbeam {
 
+class ZoneLoads;
+
 class FlowStore
 {
 public:
@@ -53,6 +55,8 @@
     /** Whether this instance should be out of the routers' rotation, because its zone has lost more than half of its members or because this instance
      *  is overloaded. */
     bool isOutOfRotation() const;
+    /** Reports of the load of other zones. Valid until this object ends. */
+    ZoneLoads &zoneLoads();
     /** Number of live instances in all zones, including this one. */
     size_t liveInstances() const;
     /** Sets the load that is reported to members of the own zone. */
--- a/src/apps/storereadersettings.h
+++ b/src/apps/storereadersettings.h
@@ -3,6 +3,7 @@
 // Timeouts with which an instance that forwards flows reads the store, derived from the deployment's time limits, and the conversion of objects to updates.
 
 #include "apps/settings.h"
+#include "balancing/zoneloads.h"
 #include "sharing/entryview.h"
 #include "sharing/sharingsettings.h"
 #include "store/objectwatcher.h"
@@ -40,5 +41,7 @@
 /** The settings of the forwarder, with a freshness lifetime of at least the interval at which the configuration is confirmed, and whether it has to know the
  * evacuations. Thread safe. */
 FlowSettings makeFlowSettings(const FlowServiceSettings &flows);
+/** The settings of the load reports between zones. Thread safe. */
+ZoneLoadSettings makeZoneLoadSettings(const FlowServiceSettings &flows);
 
 } // namespace hornbeam
--- a/src/flows/flowcounters.h
+++ b/src/flows/flowcounters.h
@@ -53,6 +53,7 @@
     ChecksInconclusive, // refused checks of targets that may be overloaded
     RefusedByWaiting,   // new flows refused because of the expected waiting time of their service
     PlacedOtherShare,   // flows placed on another service of their route because the selected one had no capacity
+    PlacedByZoneShare,  // flows placed in another availability zone because of the zone's share
     Count,
 };
 
--- a/src/flows/flowforwarder.cpp
+++ b/src/flows/flowforwarder.cpp
@@ -106,7 +106,9 @@
     this->counters.add(previousTarget == nullptr ? FlowCounter::FlowsPlaced : FlowCounter::FlowsMoved);
     this->counters.add(FlowCounter::PlacedOtherShare, result.service == result.selectedService ? 0 : 1);
     this->counters.add(FlowCounter::PlacedOtherZone, result.target->record.zone == this->ownZone ? 0 : 1);
-    this->observer.onPlaced(state, route, { this->routes.version(), this->configurationConfirmed, result.candidates, result.selectedService });
+    this->counters.add(FlowCounter::PlacedByZoneShare, result.isByZoneShare && result.target->record.zone != this->ownZone ? 1 : 0);
+    this->observer.onPlaced(state, route,
+                            { this->routes.version(), this->configurationConfirmed, result.candidates, result.selectedService, result.zoneChoice });
     return this->forwardTo(result.target, result.target->token);
 }
 
@@ -143,7 +145,9 @@
     if (observation.isProgress) {
         this->health.recordProgress(*target, now);
     }
+    target->observed.bytes += packet.contentBytes;
     if (route != nullptr && observation.answerTime > Duration{ 0 }) {
+        this->placement.zoneRouting().addAnswer(packet.flow.service, *target, observation.answerTime, observation.answerBytes);
         this->answers.add(packet.flow.service, *target, observation.answerTime);
     }
     if (route != nullptr) {
@@ -394,6 +398,11 @@
 
 //--- Timers
 
+void FlowForwarder::setZoneLoads(ZoneLoads *loads)
+{
+    this->placement.zoneRouting().setLoads(loads);
+}
+
 void FlowForwarder::setInstanceCounts(size_t allZones, size_t ownZone)
 {
     this->instanceCount = allZones;
@@ -418,6 +427,9 @@
             this->beginCheck(state->target, out);
         }
     }
+    for (const ZoneShareChange &change : this->placement.updateZoneShares(now)) {
+        this->observer.onZoneShareChange(change);
+    }
     this->tracker.expireOutstanding(now - this->settings.outstandingTimeout);
     this->placement.tick(now);
     const auto answerTimeout = [this](const FlowKey &flow) {
@@ -484,6 +496,16 @@
     return this->directory;
 }
 
+PlacementPreview FlowForwarder::previewPlacement(const Route &route, const FlowKey &flow) const
+{
+    return this->placement.preview(route, flow, this->clock.now());
+}
+
+const ZoneRouting &FlowForwarder::zoneRouting() const
+{
+    return this->placement.zoneRouting();
+}
+
 const FlowCounters &FlowForwarder::flowCounters() const
 {
     return this->counters;
--- a/src/flows/flowforwarder.h
+++ b/src/flows/flowforwarder.h
@@ -57,6 +57,7 @@
     TimePoint confirmedAt;       // when the store last confirmed that version; TimePoint{} if it has not done so yet
     size_t candidates = 0;       // listed targets of the service
     std::string selectedService; // by weight; the flow is on another one if that had no capacity
+    ZoneChoice zoneChoice;       // by the shares of the zones
 };
 
 /** Receives decisions and state changes of the forwarder. Must not call back into the forwarder. */
@@ -80,6 +81,11 @@
         static_cast<void>(target);
         static_cast<void>(grace);
     }
+    /** The share of a service's new flows that is sent to other zones has changed noticeably. */
+    virtual void onZoneShareChange(const ZoneShareChange &change)
+    {
+        static_cast<void>(change);
+    }
 };
 
 //--- Forwarder
@@ -111,6 +117,10 @@
     OwnLoad ownLoad() const;
     /** Applies the load that other members of the zone have reported. */
     void onReportedLoad(const ReportedLoad &load);
+    /** Sets where reports of other zones' load come from; may be null. Precondition: `loads` outlives the forwarder's use. */
+    void setZoneLoads(ZoneLoads *loads);
+    /** Sets the number of live instances in all zones, including this one. */
+    void setInstanceCount(size_t count);
     /** Detects unanswered packets, starts due checks and expires old flows. Call about every 20 ms. */
     void tick(FlowActions &out);
 
@@ -121,6 +131,10 @@
     CandidateStatus candidateStatusOf(const Target &target) const;
     const RouteTable &routeTable() const;
     const TargetDirectory &targetDirectory() const;
+    /** The placement of a flow that does not exist yet. Changes nothing. */
+    PlacementPreview previewPlacement(const Route &route, const FlowKey &flow) const;
+    /** The shares of the zones. */
+    const ZoneRouting &zoneRouting() const;
     const FlowCounters &flowCounters() const;
     FlowCounters &flowCounters();
     /** Histogram of the time from a request to the first acknowledgement of its answer. */
--- a/src/flows/flowtracker.cpp
+++ b/src/flows/flowtracker.cpp
@@ -112,6 +112,7 @@
             state.unansweredSince = now;
             observation.isRequest = true;
             this->beginOutstanding(state, now);
+            ++state.target->observed.requests;
             this->requests.push_back({ state.flow, now });
         }
     } else if (packet.contentBytes > 0 && !observation.isProgress) {
--- a/src/flows/flowtracker.h
+++ b/src/flows/flowtracker.h
@@ -49,7 +49,7 @@
     Acknowledgement acknowledgement = Acknowledgement::Alone;
 };
 
-/** Updates Target::openFlows and Target::outstandingRequests. Not thread safe: owned by one event loop. */
+/** Updates Target::openFlows and Target::outstandingRequests, and counts requests in Target::observed. Not thread safe: owned by one event loop. */
 class FlowTracker
 {
 public:
--- a/src/flows/placement.cpp
+++ b/src/flows/placement.cpp
@@ -19,7 +19,13 @@
 }
 
 FlowPlacement::FlowPlacement(const FlowSettings &settings, const TargetDirectory &directory, ZoneId ownZone, uint64_t seed)
-    : settings(settings), directory(directory), ownZone(ownZone), chooser(settings, ownZone, seed), admission(settings), waiting(settings.waiting)
+    : settings(settings)
+    , directory(directory)
+    , ownZone(ownZone)
+    , chooser(settings, ownZone, seed)
+    , admission(settings)
+    , waiting(settings.waiting)
+    , zones(settings, directory, ownZone)
 {
 }
 
@@ -29,6 +35,16 @@
 }
 
 Placement FlowPlacement::place(const Route &route, const PlacementRequest &request, TimePoint now)
+{
+    Placement placement = this->decide(route, request, now);
+    if (placement.outcome == PlacementOutcome::Placed) {
+        this->recordOpening(*placement.target, now);
+    }
+    return placement;
+}
+
+// Reports nothing to the rules.
+Placement FlowPlacement::decide(const Route &route, const PlacementRequest &request, TimePoint now)
 {
     Placement placement;
     const std::string *service = RouteTable::serviceOf(route, request.flow);
@@ -40,9 +56,6 @@
         const bool isRefused = placement.outcome == PlacementOutcome::Overloaded && !this->placeOnOtherShare(placement, route, request, now);
         this->waiting.record(demandOf(route), placement.service, isRefused, now);
     }
-    if (placement.outcome == PlacementOutcome::Placed) {
-        this->recordOpening(*placement.target, now);
-    }
     return placement;
 }
 
@@ -52,9 +65,10 @@
     const std::vector<TargetPtr> &candidates = this->directory.targetsOf(placement.service);
     placement.candidates = candidates.size();
     const CandidateFilter filter{ this->rules, now };
-    placement.target = this->chooser.choose(candidates, request.previousTarget, filter, this->hasReports);
+    placement.zoneChoice = this->zones.choose(placement.service, request.flow);
+    placement.target = this->chooseTarget(candidates, request.previousTarget, filter, placement);
     if (placement.target == nullptr && request.previousTarget != nullptr) {
-        placement.target = this->chooser.choose(candidates, nullptr, filter, this->hasReports);
+        placement.target = this->chooseTarget(candidates, nullptr, filter, placement);
     }
     if (placement.target != nullptr) {
         placement.outcome = PlacementOutcome::Placed;
@@ -93,6 +107,32 @@
     return false;
 }
 
+PlacementPreview FlowPlacement::preview(const Route &route, const FlowKey &flow, TimePoint now) const
+{
+    PlacementPreview preview;
+    FlowPlacement copy(*this); // the choice among equal loads and admission control change their state
+    preview.placement = copy.decide(route, { flow, nullptr, false }, now);
+    for (const TargetPtr &target : this->directory.targetsOf(preview.placement.service)) {
+        const CandidateStatus status = this->statusOf(*target, now);
+        const bool isUsable = target->phase == TargetPhase::Ready && !target->isSilent() && !target->isTokenTaken && status == CandidateStatus::Eligible;
+        preview.candidates.push_back({ target, this->chooser.loadOf(*target, target->reportedRequests), status, isUsable });
+    }
+    return preview;
+}
+
+// The zone's shares decide first. If they don't, or the zone has no candidate, targets of all zones are compared.
+TargetPtr FlowPlacement::chooseTarget(const std::vector<TargetPtr> &candidates, const TargetPtr &excluded, const CandidateFilter &filter, Placement &placement)
+{
+    if (placement.zoneChoice.zone.has_value()) {
+        TargetPtr target = this->chooser.chooseInZone(candidates, excluded, filter, *placement.zoneChoice.zone, this->hasReports);
+        if (target != nullptr) {
+            placement.isByZoneShare = true;
+            return target;
+        }
+    }
+    return this->chooser.choose(candidates, excluded, filter, this->hasReports);
+}
+
 void FlowPlacement::recordOpening(const Target &target, TimePoint now)
 {
     for (PlacementRule *rule : this->rules) {
@@ -216,4 +256,19 @@
     return this->waiting.states(now);
 }
 
+ZoneRouting &FlowPlacement::zoneRouting()
+{
+    return this->zones;
+}
+
+const ZoneRouting &FlowPlacement::zoneRouting() const
+{
+    return this->zones;
+}
+
+std::vector<ZoneShareChange> FlowPlacement::updateZoneShares(TimePoint now)
+{
+    return this->zones.tick(this->rules, now);
+}
+
 } // namespace hornbeam
--- a/src/flows/placement.h
+++ b/src/flows/placement.h
@@ -12,6 +12,7 @@
 #include "flows/routetable.h"
 #include "flows/targetchooser.h"
 #include "flows/targetdirectory.h"
+#include "flows/zonerouting.h"
 
 #include <map>
 #include <set>
@@ -46,10 +47,28 @@
     std::string service;         // empty if no share of the route has a weight
     std::string selectedService; // whose weight selected the flow; differs from `service` if that one had no capacity
     size_t candidates = 0;       // listed and missing targets of the service
+    ZoneChoice zoneChoice;       // what the shares of the zones say
+    bool isByZoneShare = false;  // the target is in the zone of `zoneChoice`
     AdmissionVerdict verdict;
     CandidateStatus restriction = CandidateStatus::Eligible; // for Restricted: of one of the excluded targets
 };
 
+/** A target as seen by the placement of a new flow. */
+struct CandidateView
+{
+    TargetPtr target;
+    double load = 0;                                    // by which targets are compared
+    CandidateStatus status = CandidateStatus::Eligible; // by the rules
+    bool isUsable = false;                              // ready, its health and identity are not in doubt, and not excluded by a rule
+};
+
+/** A placement that was not carried out. */
+struct PlacementPreview
+{
+    Placement placement;
+    std::vector<CandidateView> candidates; // sorted by name
+};
+
 /** Not thread safe: owned by one event loop. */
 class FlowPlacement
 {
@@ -61,6 +80,8 @@
     void addRule(PlacementRule &rule);
     /** Chooses the target of a new flow. A target that is placed is reported to the rules. */
     Placement place(const Route &route, const PlacementRequest &request, TimePoint now);
+    /** What place() would return now for a new flow, and the values that it would compare. Changes nothing. */
+    PlacementPreview preview(const Route &route, const FlowKey &flow, TimePoint now) const;
     /** Reports a repeated opening packet to the rules that is sent to the same target as before. */
     void recordOpening(const Target &target, TimePoint now);
     /** Why the rules exclude a target from new flows; Eligible if they don't. */
@@ -81,8 +102,15 @@
     /** Load and expected waiting time of the services. */
     std::map<std::string, WaitingAdmission::ServiceState> serviceStates(TimePoint now) const;
 
+    ZoneRouting &zoneRouting();
+    const ZoneRouting &zoneRouting() const;
+    /** Updates the shares of the zones if that is due. Returns those that have changed noticeably. */
+    std::vector<ZoneShareChange> updateZoneShares(TimePoint now);
+
 private:
+    Placement decide(const Route &route, const PlacementRequest &request, TimePoint now);
     void choose(Placement &placement, const PlacementRequest &request, TimePoint now);
+    TargetPtr chooseTarget(const std::vector<TargetPtr> &candidates, const TargetPtr &excluded, const CandidateFilter &filter, Placement &placement);
     void admit(Placement &placement, const Route &route, TimePoint now);
     bool placeOnOtherShare(Placement &placement, const Route &route, const PlacementRequest &request, TimePoint now);
     ServiceOccupancy occupancyOf(const std::string &service, const CandidateFilter &filter) const;
@@ -93,6 +121,7 @@
     TargetChooser chooser;
     AdmissionControl admission;
     WaitingAdmission waiting;
+    ZoneRouting zones;
     std::vector<PlacementRule *> rules;
     std::set<std::string> services; // of the routes in force
     std::map<std::string, ReportedLoad::Service> reportedServices;
--- a/src/flows/targetchooser.cpp
+++ b/src/flows/targetchooser.cpp
@@ -18,18 +18,27 @@
 TargetPtr TargetChooser::choose(const std::vector<TargetPtr> &targets, const TargetPtr &excluded, const CandidateFilter &filter, bool hasReports)
 {
     if (hasReports && this->settings.choiceCandidates > 0) {
-        TargetPtr best = this->bestOfFew(targets, excluded, filter);
+        TargetPtr best = this->bestOfFew(targets, excluded, filter, std::nullopt);
         if (best != nullptr) {
             return best;
         }
     }
     for (const TargetPhase phase : { TargetPhase::Ready, TargetPhase::Missing }) {
-        TargetPtr best = this->leastLoaded(targets, excluded, filter, phase, false);
+        TargetPtr best = this->leastLoaded(targets, excluded, filter, phase, false, std::nullopt);
         if (best != nullptr) {
             return best;
         }
     }
-    return this->leastLoaded(targets, excluded, filter, TargetPhase::Ready, true);
+    return this->leastLoaded(targets, excluded, filter, TargetPhase::Ready, true, std::nullopt);
+}
+
+TargetPtr TargetChooser::chooseInZone(const std::vector<TargetPtr> &targets, const TargetPtr &excluded, const CandidateFilter &filter, ZoneId zone,
+                                      bool hasReports)
+{
+    if (hasReports && this->settings.choiceCandidates > 0) {
+        return this->bestOfFew(targets, excluded, filter, zone);
+    }
+    return this->leastLoaded(targets, excluded, filter, TargetPhase::Ready, false, zone);
 }
 
 double TargetChooser::slownessOf(const Target &target) const
@@ -61,9 +70,9 @@
 
 // The own counts decide on the zone: reports say nothing of the requests that members of other zones send to their targets. Within the zone they come first,
 // too, because they are exact; the reports, which are older, decide between a few of the targets with the fewest own outstanding requests.
-TargetPtr TargetChooser::bestOfFew(const std::vector<TargetPtr> &targets, const TargetPtr &excluded, const CandidateFilter &filter)
+TargetPtr TargetChooser::bestOfFew(const std::vector<TargetPtr> &targets, const TargetPtr &excluded, const CandidateFilter &filter, std::optional<ZoneId> zone)
 {
-    const TargetPtr reference = this->leastLoaded(targets, excluded, filter, TargetPhase::Ready, false);
+    const TargetPtr reference = this->leastLoaded(targets, excluded, filter, TargetPhase::Ready, false, zone);
     if (reference == nullptr) {
         return nullptr;
     }
@@ -89,13 +98,14 @@
 }
 
 TargetPtr TargetChooser::leastLoaded(const std::vector<TargetPtr> &targets, const TargetPtr &excluded, const CandidateFilter &filter, TargetPhase phase,
-                                     bool isIdentityUnverified)
+                                     bool isIdentityUnverified, std::optional<ZoneId> zone)
 {
     TargetPtr best;
     double bestLoad = 0;
     uint32_t ties = 0;
     for (const TargetPtr &target : targets) {
-        if (!isUsable(*target, phase, isIdentityUnverified) || target == excluded) {
+        const bool isInZone = !zone.has_value() || target->record.zone == *zone;
+        if (!isInZone || !isUsable(*target, phase, isIdentityUnverified) || target == excluded) {
             continue;
         }
         const double load = this->loadOf(*target, 0);
--- a/src/flows/targetchooser.h
+++ b/src/flows/targetchooser.h
@@ -6,6 +6,7 @@
 #include "flows/placementrule.h"
 #include "flows/targetdirectory.h"
 
+#include <optional>
 #include <random>
 
 namespace hornbeam {
@@ -26,15 +27,19 @@
      * the target that was the least loaded one of the last reports.
      */
     TargetPtr choose(const std::vector<TargetPtr> &targets, const TargetPtr &excluded, const CandidateFilter &filter, bool hasReports = false);
+    /** The same among the ready targets of one zone. Returns null if none of them accepts new flows. */
+    TargetPtr chooseInZone(const std::vector<TargetPtr> &targets, const TargetPtr &excluded, const CandidateFilter &filter, ZoneId zone,
+                           bool hasReports = false);
+    /** The load by which targets are compared. `reported`: requests that other members have reported. */
+    double loadOf(const Target &target, double reported) const;
 
 private:
     double slownessOf(const Target &target) const;
     double requestsOf(const Target &target) const; // own outstanding ones for each slot
-    double loadOf(const Target &target, double reported) const;
-    TargetPtr bestOfFew(const std::vector<TargetPtr> &targets, const TargetPtr &excluded, const CandidateFilter &filter);
+    TargetPtr bestOfFew(const std::vector<TargetPtr> &targets, const TargetPtr &excluded, const CandidateFilter &filter, std::optional<ZoneId> zone);
     static bool isUsable(const Target &target, TargetPhase phase, bool isIdentityUnverified);
     TargetPtr leastLoaded(const std::vector<TargetPtr> &targets, const TargetPtr &excluded, const CandidateFilter &filter, TargetPhase phase,
-                          bool isIdentityUnverified);
+                          bool isIdentityUnverified, std::optional<ZoneId> zone);
 
     const FlowSettings &settings;
     const ZoneId ownZone;
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -153,7 +153,8 @@
                 this->sync.onMessage(typed, out);
             } else if constexpr (
                 std::is_same_v<
-                    Typed, StoreQuery> || std::is_same_v<Typed, StoreResponse> || std::is_same_v<Typed, RotationReport> || std::is_same_v<Typed, LoadReport>) {
+                    Typed,
+                    StoreQuery> || std::is_same_v<Typed, StoreResponse> || std::is_same_v<Typed, RotationReport> || std::is_same_v<Typed, LoadReport> || std::is_same_v<Typed, ZoneLoad>) {
                 // exchanged only between instances that forward flows
             } else {
                 this->feedEngine.onMessage(typed, out);
