Flow store: the calls for one resource are a class of their own

ResourceReading holds what was an array for each property: the watcher, whether the store is lost, the last read on demand, and what was logged. Measured: flow daemon tests, sharing tests and settings tests passed; log events and pages are unchanged.

--- a/src/apps/flowstore.cpp
+++ b/src/apps/flowstore.cpp
@@ -3,13 +3,13 @@
 #include "apps/flowstore.h"
 
 #include "apps/peerlink.h"
+#include "apps/resourcereading.h"
 #include "apps/storereadersettings.h"
 #include "apps/storereadings.h"
 #include "membership/membership.h"
 #include "platform/flowobjects.h"
 #include "platform/platformclient.h"
 #include "rotation/rotationpolicy.h"
-#include "store/objectwatcher.h"
 #include "store/seedlist.h"
 
 #include <algorithm>
@@ -20,7 +20,6 @@
 
 namespace {
 
-constexpr Duration readNowInterval = seconds(1); // minimum interval between reads that are triggered by packets or members
 constexpr Duration memberUpdateInterval = milliseconds(50);
 constexpr size_t maxLoggedKinds = 16; // unknown kinds of requests that are remembered, so that each is logged once
 constexpr size_t peerWorkers = 1;     // a single event loop owns all state
@@ -82,30 +81,21 @@
             this->addSeed({ host, settings.peerPort });
         }
         const StoreReaderSettings reading = makeStoreReaderSettings(*settings.flows);
-        this->addWatcher(StoreResource::Targets, targetPrefix, reading.targets, seed, [this](const ObjectReadResult &read) { this->onTargets(read); });
-        this->addWatcher(StoreResource::Configuration, configurationPrefix, reading.configurations, seed + 1,
+        this->addReading(StoreResource::Targets, targetPrefix, reading.targets, seed, [this](const ObjectReadResult &read) { this->onTargets(read); });
+        this->addReading(StoreResource::Configuration, configurationPrefix, reading.configurations, seed + 1,
                          [this](const ObjectReadResult &read) { this->onConfigurations(read); });
-        this->addWatcher(StoreResource::Evacuations, evacuationPrefix, reading.evacuations, seed + 3,
+        this->addReading(StoreResource::Evacuations, evacuationPrefix, reading.evacuations, seed + 3,
                          [this](const ObjectReadResult &read) { this->onEvacuations(read); });
-        this->wasOutdated.fill(true);
     }
 
-    void addWatcher(StoreResource resource, std::string_view prefix, const WatcherSettings &settings, uint64_t seed, ObjectWatcher::ObjectsCallback onObjects)
+    void addReading(StoreResource resource, std::string_view prefix, const WatcherSettings &settings, uint64_t seed, ObjectWatcher::ObjectsCallback onObjects)
     {
         if (this->sharing.isRead(resource)) {
-            this->readings.push_back(resource);
-            this->watchers[static_cast<size_t>(resource)] =
-                std::make_unique<ObjectWatcher>(this->client, this->clock, seed, std::string(prefix), std::move(onObjects), settings);
-            this->watcherOf(resource).setFailureCallback([this, resource](const PlatformReply &reply) { this->onFailure(resource, reply); });
+            const ReadingContext reading{ this->client, this->clock, this->sharing, this->logEvent };
+            this->readings[resource] = std::make_unique<ResourceReading>(reading, resource, prefix, settings, seed, std::move(onObjects));
         }
     }
 
-    /** Precondition: the resource is read. */
-    ObjectWatcher &watcherOf(StoreResource resource) const
-    {
-        return *this->watchers[static_cast<size_t>(resource)];
-    }
-
     //--- Store
 
     void tick()
@@ -115,47 +105,13 @@
         this->sharing.tick(out);
         this->link.send(out);
         this->updateMembers();
-        for (const StoreResource resource : this->readings) {
-            this->tickWatcher(resource);
+        for (const auto &[resource, reading] : this->readings) {
+            reading->tick();
         }
     }
 
-    void tickWatcher(StoreResource resource)
-    {
-        const bool isReader = this->sharing.isReader(resource);
-        this->watcherOf(resource).tick(isReader);
-        bool &wasReader = this->wasReaderOf[static_cast<size_t>(resource)];
-        if (isReader != wasReader) {
-            wasReader = isReader;
-            this->logEvent(isReader ? "store_reading_started" : "store_reading_stopped", this->watcherState(resource));
-        }
-        const bool isOutdated = this->sharing.isOutdated(resource);
-        bool &wasOutdated = this->wasOutdated[static_cast<size_t>(resource)];
-        if (isOutdated != wasOutdated) {
-            wasOutdated = isOutdated;
-            this->logEvent(isOutdated ? "store_data_outdated" : "store_data_current", this->watcherState(resource));
-        }
-    }
-
-    nlohmann::ordered_json watcherState(StoreResource resource) const
-    {
-        return describeReading(resource, this->sharing, this->watcherOf(resource), this->clock.now());
-    }
-
-    void readNow(StoreResource resource)
-    {
-        TimePoint &last = this->lastReadNow[static_cast<size_t>(resource)];
-        const TimePoint now = this->clock.now();
-        if (last != TimePoint{} && now - last < readNowInterval) {
-            return;
-        }
-        last = now;
-        this->watcherOf(resource).pollNow();
-    }
-
     void onTargets(const ObjectReadResult &read)
     {
-        this->recordSuccess(StoreResource::Targets, read);
         std::vector<IgnoredEntry> ignored;
         TargetUpdate update = makeTargetUpdate(read, ignored);
         this->logIgnored("target_ignored", "target", ignored);
@@ -166,7 +122,6 @@
 
     void onEvacuations(const ObjectReadResult &read)
     {
-        this->recordSuccess(StoreResource::Evacuations, read);
         std::vector<IgnoredEntry> ignored;
         EvacuationUpdate update = makeEvacuationUpdate(read, ignored);
         this->logIgnored("evacuation_ignored", "zone", ignored);
@@ -184,7 +139,6 @@
 
     void onConfigurations(const ObjectReadResult &read)
     {
-        this->recordSuccess(StoreResource::Configuration, read);
         Actions out;
         for (const PlatformObject &object : read.objects) {
             if (object.key != configurationKey || object.isDeleted) {
@@ -207,25 +161,6 @@
         this->link.send(out);
     }
 
-    void onFailure(StoreResource resource, const PlatformReply &reply)
-    {
-        this->isStoreLost[static_cast<size_t>(resource)] = true;
-        this->sharing.onStoreFailure();
-        this->logEvent("store_lost", { { "reading", nameOf(resource) }, { "outcome", nameOf(reply.outcome) }, { "problem", reply.problem } });
-    }
-
-    void recordSuccess(StoreResource resource, const ObjectReadResult &read)
-    {
-        if (read.unnamedObjects > 0) {
-            this->logEvent("entries_ignored", { { "reading", nameOf(resource) }, { "entries", read.unnamedObjects }, { "problem", "the name can't be read" } });
-        }
-        bool &lost = this->isStoreLost[static_cast<size_t>(resource)];
-        if (lost) {
-            lost = false;
-            this->logEvent("store_regained", { { "reading", nameOf(resource) } });
-        }
-    }
-
     //--- Members
 
     void onMessage(const PeerMessage &message)
@@ -301,8 +236,8 @@
     std::string metricsText() const
     {
         std::string text = this->counters.text();
-        for (const StoreResource resource : this->readings) {
-            text += readingGauges(resource, this->watcherOf(resource), this->clock.now());
+        for (const auto &[resource, reading] : this->readings) {
+            text += reading->gauges();
         }
         if (this->sharing.isRead(StoreResource::Evacuations)) {
             text += ageGauge("flow_evacuations", this->sharing.evacuationView().confirmedAt(), this->clock.now());
@@ -314,12 +249,11 @@
 
     std::string membersPage() const
     {
-        std::vector<MemberRecord> members = this->membership.members();
         nlohmann::ordered_json calls = nlohmann::ordered_json::array();
-        for (const StoreResource resource : this->readings) {
-            calls.push_back(this->watcherState(resource));
+        for (const auto &[resource, reading] : this->readings) {
+            calls.push_back(reading->state());
         }
-        return membersPageOf(this->membership.self(), members, this->sharing, std::move(calls), this->clock.now());
+        return membersPageOf(this->membership.self(), this->membership.members(), this->sharing, std::move(calls), this->clock.now());
     }
 
     const Clock &clock;
@@ -331,15 +265,10 @@
     RotationPolicy rotation;
     SharedStoreReader sharing;
     PlatformClient client;
-    std::vector<StoreResource> readings; // that the deployment uses
-    std::array<std::unique_ptr<ObjectWatcher>, static_cast<size_t>(StoreResource::Count)> watchers;
+    std::map<StoreResource, std::unique_ptr<ResourceReading>> readings; // of the resources that the deployment uses
     SeedList seeds;
-    std::array<bool, static_cast<size_t>(StoreResource::Count)> isStoreLost{};
-    std::array<TimePoint, static_cast<size_t>(StoreResource::Count)> lastReadNow{};
-    std::array<bool, static_cast<size_t>(StoreResource::Count)> wasReaderOf{}; // as of the last tick
-    std::array<bool, static_cast<size_t>(StoreResource::Count)> wasOutdated{}; // as of the last tick
-    std::set<std::string> unknownKinds;                                        // logged
-    size_t liveMembers = 1;                                                    // of all zones, including this instance
+    std::set<std::string> unknownKinds; // logged
+    size_t liveMembers = 1;             // of all zones, including this instance
     TimePoint nextMemberUpdate;
 };
 
@@ -370,12 +299,12 @@
 
 void FlowStore::readNow(StoreResource resource)
 {
-    this->impl->readNow(resource);
+    this->impl->readings.at(resource)->readNow();
 }
 
 void FlowStore::setUrgent(bool isUrgent)
 {
-    this->impl->watcherOf(StoreResource::Targets).setUrgent(isUrgent);
+    this->impl->readings.at(StoreResource::Targets)->setUrgent(isUrgent);
 }
 
 void FlowStore::setEndpoint(const Endpoint &endpoint)
