Soak: an instance is slow for a while; end-to-end test of its leaving and returning

The step slow_instance stops and continues the process for 120 and 40 ms; no caller may fail meanwhile, and the instance has to be in the rotation again 8 s later. Drawn apart, once in a run, so that seeds keep their other steps.

--- a/soak/plan.cpp
+++ b/soak/plan.cpp
@@ -16,6 +16,9 @@
 constexpr milliseconds longestMoveGap(2500);
 constexpr milliseconds shortestRefusal(2000);
 constexpr milliseconds longestRefusal(9000);
+constexpr milliseconds shortestSlowness(3000); // an overloaded instance leaves the rotation within 2 s
+constexpr milliseconds longestSlowness(7000);
+constexpr milliseconds firstSlowness(2000);
 }
 
 std::string_view nameOf(StepKind kind)
@@ -40,7 +43,7 @@
 
 bool isPlanned(StepKind kind)
 {
-    return kind <= StepKind::ChangeStorm || kind == StepKind::OddEntry || kind == StepKind::MoveRoute;
+    return kind <= StepKind::ChangeStorm || kind == StepKind::OddEntry || kind == StepKind::MoveRoute || kind == StepKind::SlowInstance;
 }
 
 // Drawn apart from the other steps, so that each seed keeps those.
@@ -76,6 +79,22 @@
     return plan;
 }
 
+// Drawn apart as well: one instance is slow once.
+Plan withSlowInstance(Plan plan, uint64_t seed, Duration length, Duration calm)
+{
+    std::mt19937_64 random(seed ^ 0x736C6F77ULL);
+    const auto between = [&random](milliseconds low, milliseconds high) {
+        return milliseconds(std::uniform_int_distribution<int64_t>(low.count(), high.count())(random));
+    };
+    const milliseconds lasts = between(shortestSlowness, longestSlowness);
+    const auto latest = std::chrono::duration_cast<milliseconds>(length - calm) - lasts;
+    const auto subject = static_cast<uint32_t>(random());
+    if (latest >= firstSlowness) {
+        plan.push_back({ between(firstSlowness, latest), StepKind::SlowInstance, subject, lasts });
+    }
+    return plan;
+}
+
 Plan sorted(Plan plan)
 {
     std::stable_sort(plan.begin(), plan.end(), [](const Step &a, const Step &b) { return a.at < b.at; });
@@ -103,7 +122,8 @@
         if (step.at + step.lasts > length - calm) {
             plan.push_back(lastRelease);
             plan.push_back(lastEdit);
-            return sorted(withConfigurationSteps(withOddEntries(std::move(plan), seed, length), seed, length, calm));
+            plan = withConfigurationSteps(withOddEntries(std::move(plan), seed, length), seed, length, calm);
+            return sorted(withSlowInstance(std::move(plan), seed, length, calm));
         }
         plan.push_back(step);
     }
--- a/soak/plan.h
+++ b/soak/plan.h
@@ -36,8 +36,9 @@
     // harmless
     OddEntry, // another writer leaves an unusable entry among those of the targets
     // drawn apart
-    MoveRoute,   // planned: a route's flows go to another service
-    RefuseStore, // a third of the instances get HTTP status 503 or 429 from the store
+    MoveRoute,    // planned: a route's flows go to another service
+    RefuseStore,  // a third of the instances get HTTP status 503 or 429 from the store
+    SlowInstance, // it gets a quarter of a processor in short slices; its callers have to be served all the same
     Count,
 };
 
--- a/soak/run.cpp
+++ b/soak/run.cpp
@@ -85,7 +85,8 @@
         }
         const Instances::Places places{ this->network, this->settings.binaries + "/hornbeamd", this->settings.dir, this->store };
         this->instances = std::make_unique<Instances>(this->context, this->clock, this->findings, places, this->settings.instances);
-        const RunParts parts{ this->clock, this->timers, this->storeProcess, *this->instances, this->targets, this->probes, this->operators, this->disturbed };
+        const RunParts parts{ this->clock,   this->findings, this->timers,    this->storeProcess, *this->instances,
+                              this->targets, this->probes,   this->operators, this->disturbed };
         this->steps = std::make_unique<Steps>(parts);
         const TimePoint begun = this->clock.now();
         while (!this->instances->areReady() && this->clock.now() - begun < startPatience) {
--- a/soak/steps.cpp
+++ b/soak/steps.cpp
@@ -11,6 +11,11 @@
 constexpr milliseconds shortAbsence(1000); // of an entry after the store's return
 constexpr milliseconds longAbsence(6000);  // of an entry whose writes are lost
 constexpr milliseconds storeDelay(300);
+constexpr milliseconds sliceStopped(120); // of a slow instance
+constexpr milliseconds sliceRunning(40);
+constexpr milliseconds
+    returnBound(8000); // from the end of its slowness: the minimum time out, the recovery, two probes of the routers and the stability window
+constexpr milliseconds returnRecheck(500);
 constexpr milliseconds rollGap(700);
 constexpr milliseconds stormGap(330);
 constexpr int stormChanges = 5;
@@ -87,6 +92,9 @@
     case StepKind::PauseInstance:
         this->pauseInstance(instance, step.lasts);
         break;
+    case StepKind::SlowInstance:
+        this->slowInstance(instance, step.lasts);
+        break;
     case StepKind::CutLink:
         this->disturb(instance.disturbance, step.lasts);
         instance.isCut = true;
@@ -133,6 +141,41 @@
     });
 }
 
+// The time limits of the store's changes don't bind the instance meanwhile, but no caller may fail.
+void Steps::slowInstance(Instance &instance, Duration lasts)
+{
+    if (instance.process == nullptr || instance.stoppedAt != TimePoint{} || instance.isKilled) {
+        return;
+    }
+    this->disturb(instance.disturbance, lasts);
+    const uint64_t starts = instance.starts;
+    const auto signal = [&instance, starts](int number) {
+        if (instance.process != nullptr && instance.starts == starts) {
+            instance.process->signal(number);
+        }
+    };
+    for (Duration at{ 0 }; at < lasts; at += sliceStopped + sliceRunning) {
+        this->parts.timers.add(at, [signal] { signal(SIGSTOP); });
+        this->parts.timers.add(at + sliceStopped, [signal] { signal(SIGCONT); });
+    }
+    this->parts.timers.add(lasts + returnBound, [this, &instance, starts] { this->checkReturned(instance, starts); });
+}
+
+// Waits until the instance has been undisturbed for the stability window.
+void Steps::checkReturned(Instance &instance, uint64_t starts)
+{
+    const TimePoint now = this->parts.clock.now();
+    const bool isReplaced = instance.process == nullptr || instance.starts != starts || instance.stoppedAt != TimePoint{} || instance.isKilled;
+    if (isReplaced || instance.isReady) {
+        return;
+    }
+    if (instance.disturbance.isCalm(now) && this->parts.disturbed.any.isCalm(now)) {
+        this->parts.findings.add(now, instance.name + " did not return to the rotation after it was slow");
+        return;
+    }
+    this->parts.timers.add(returnRecheck, [this, &instance, starts] { this->checkReturned(instance, starts); });
+}
+
 //--- Store
 
 void Steps::beginStoreStep(const Step &step, Instance &instance)
--- a/soak/steps.h
+++ b/soak/steps.h
@@ -20,6 +20,7 @@
 struct RunParts
 {
     const Clock &clock;
+    Findings &findings;
     Timers &timers;
     Process &storeProcess;
     Instances &instances;
@@ -46,6 +47,8 @@
     void crashTarget(SoakTarget &target, const std::string &zone);
     void killInstance(Instance &instance);
     void pauseInstance(Instance &instance, Duration lasts);
+    void slowInstance(Instance &instance, Duration lasts);
+    void checkReturned(Instance &instance, uint64_t starts);
     void leaveOddEntry(const Step &step);
     void moveRoute(uint32_t subject);
     void beginStoreStep(const Step &step, Instance &instance);
--- a/tests/flowdaemon_test.cpp
+++ b/tests/flowdaemon_test.cpp
@@ -131,18 +131,18 @@
 struct FlowProcess
 {
     FlowProcess(const std::string &name, const Endpoint &store, const std::string &host = "127.0.0.1", uint16_t peerPort = freePort(),
-                const std::vector<std::string> &seeds = {})
+                const std::vector<std::string> &seeds = {}, const json &flowSettings = json::object())
         : file(std::filesystem::temp_directory_path() / (name + std::to_string(::getpid()) + ".json"))
     {
-        const json settings{
-            { "name", name },
-            { "zone", "here" },
-            { "address", host },
-            { "peer_port", peerPort },
-            { "metrics_port", this->metrics.port },
-            { "platform", toString(store) },
-            { "flows", { { "packet_address", toString(this->packets) }, { "readiness_address", toString(this->readiness) }, { "seed_hosts", seeds } } }
-        };
+        json settings{ { "name", name },
+                       { "zone", "here" },
+                       { "address", host },
+                       { "peer_port", peerPort },
+                       { "metrics_port", this->metrics.port },
+                       { "platform", toString(store) },
+                       { "flows",
+                         { { "packet_address", toString(this->packets) }, { "readiness_address", toString(this->readiness) }, { "seed_hosts", seeds } } } };
+        settings["flows"].update(flowSettings);
         REQUIRE(parseEndpoint(host + ":" + std::to_string(this->metrics.port), this->metrics));
         std::ofstream(this->file) << settings;
         this->child = std::make_unique<ChildProcess>("hornbeamd", std::vector<std::string>{ "--settings", this->file.string() });
@@ -371,3 +371,40 @@
         CHECK(reader.child->wait() == 0);
     }
 }
+
+TEST_CASE("flow daemon: an instance that runs in short slices is not ready until it runs normally", "[endtoend]")
+{
+    ChildProcess platform("standins-platform", { "--listen", "127.0.0.1:0" });
+    Endpoint store;
+    REQUIRE(parseEndpoint(platform.readLine().substr(std::string("listening ").size()), store));
+    createTarget(store, freePort());
+    createConfiguration(store);
+    const uint16_t peerPort = freePort();
+    const json quick{ { "overload_min_in_ms", 1000 }, { "overload_min_out_ms", 500 } };
+    std::vector<std::unique_ptr<FlowProcess>> processes;
+    for (int i = 2; i <= 6; ++i) {
+        const std::string host = "127.0.0." + std::to_string(i);
+        processes.push_back(std::make_unique<FlowProcess>("slow" + std::to_string(i), store, host, peerPort, std::vector<std::string>{ "127.0.0.2:1" }, quick));
+    }
+    for (const auto &process : processes) {
+        REQUIRE(process->waitReady());
+    }
+    const FlowProcess &slow = *processes.back();
+    const auto members = [&] { return json::parse(httpGet(slow.metrics, "/members", seconds(1)).value_or("{}")); };
+    for (int i = 0; i < 100 && members()["members"].size() < processes.size(); ++i) {
+        std::this_thread::sleep_for(milliseconds(50));
+    }
+    REQUIRE(members()["members"].size() == processes.size());
+    CHECK(members()["overload"]["phase"] == "ready");
+    bool wasOut = false;
+    for (int i = 0; i < 60 && !wasOut; ++i) {
+        slow.child->sendSignal(SIGSTOP);
+        std::this_thread::sleep_for(milliseconds(120));
+        slow.child->sendSignal(SIGCONT);
+        std::this_thread::sleep_for(milliseconds(40));
+        wasOut = !slow.isReady();
+    }
+    CHECK(wasOut);
+    CHECK(httpGet(slow.metrics, "/metrics", seconds(1)).value_or("").find("hornbeam_overload_out 1\n") != std::string::npos);
+    CHECK(slow.waitReady());
+}
--- a/tests/settings_test.cpp
+++ b/tests/settings_test.cpp
@@ -163,6 +163,8 @@
     {
         object["flows"]["shared_reading"] = false;
         object["flows"]["leave_rotation"] = false;
+        object["flows"]["leave_when_overloaded"] = false;
+        object["flows"]["overload_out_percent"] = 0;
         object["flows"]["initial_read_ms"] = 0;
         object["flows"]["opening_moves"] = 0;
         const CheckedSettings checked = parseSettings(object.dump());
@@ -171,6 +173,8 @@
         const CheckedSettings again = parseSettings(writeSettings(*checked.settings));
         REQUIRE(again.faults.empty());
         CHECK_FALSE(again.settings->flows->canLeaveRotation);
+        CHECK_FALSE(again.settings->flows->canLeaveWhenOverloaded);
+        CHECK(again.settings->flows->overload.maxOutPercent == 0);
         CHECK(again.settings->flows->initialReadTimeout == seconds(0));
         CHECK(again.settings->flows->parts.maxOpeningMoves == 0);
     }
