--- a/soak/plan.cpp
+++ b/soak/plan.cpp
@@ -19,14 +19,18 @@
 constexpr milliseconds longestEvacuationGap(4000); // between the end of an evacuation and the next one: never two at a time
 constexpr milliseconds shortestEvacuation(1000);
 constexpr milliseconds longestEvacuation(9000); // several seconds longer than its bound
+constexpr milliseconds shortestSlowness(3000);  // an overloaded instance leaves the rotation within 2 s
+constexpr milliseconds longestSlowness(7000);
+constexpr milliseconds firstSlowness(2000);
 }
 
 std::string_view nameOf(StepKind kind)
 {
     constexpr std::array<std::string_view, static_cast<size_t>(StepKind::Count)> names{
-        "restart_instance", "roll_instances", "reload_settings", "replace_target", "add_route", "drop_route",    "change_storm", "kill_instance",
-        "kill_half",        "pause_instance", "crash_target",    "freeze_target",  "cut_link",  "silence_store", "reset_store",  "delay_store",
-        "cut_store",        "lapse_entry",    "lose_writes",     "pause_store",    "odd_entry", "move_route",    "refuse_store", "evacuate_zone"
+        "restart_instance", "roll_instances", "reload_settings", "replace_target", "add_route",     "drop_route",  "change_storm",
+        "kill_instance",    "kill_half",      "pause_instance",  "crash_target",   "freeze_target", "cut_link",    "silence_store",
+        "reset_store",      "delay_store",    "cut_store",       "lapse_entry",    "lose_writes",   "pause_store", "odd_entry",
+        "move_route",       "refuse_store",   "evacuate_zone",   "slow_instance"
     };
     return names[static_cast<size_t>(kind)];
 }
@@ -43,7 +47,8 @@
 
 bool isPlanned(StepKind kind)
 {
-    return kind <= StepKind::ChangeStorm || kind == StepKind::OddEntry || kind == StepKind::MoveRoute || kind == StepKind::EvacuateZone;
+    return kind <= StepKind::ChangeStorm || kind == StepKind::OddEntry || kind == StepKind::MoveRoute || kind == StepKind::EvacuateZone
+        || kind == StepKind::SlowInstance;
 }
 
 // Drawn apart from the other steps, so that each seed keeps those.
@@ -94,6 +99,22 @@
     return plan;
 }
 
+// Drawn apart as well: one instance is slow once.
+Plan withSlowInstance(Plan plan, uint64_t seed, Duration length, Duration calm)
+{
+    std::mt19937_64 random(seed ^ 0x736C6F77ULL);
+    const auto between = [&random](milliseconds low, milliseconds high) {
+        return milliseconds(std::uniform_int_distribution<int64_t>(low.count(), high.count())(random));
+    };
+    const milliseconds lasts = between(shortestSlowness, longestSlowness);
+    const auto latest = std::chrono::duration_cast<milliseconds>(length - calm) - lasts;
+    const auto subject = static_cast<uint32_t>(random());
+    if (latest >= firstSlowness) {
+        plan.push_back({ between(firstSlowness, latest), StepKind::SlowInstance, subject, lasts });
+    }
+    return plan;
+}
+
 Plan sorted(Plan plan)
 {
     std::stable_sort(plan.begin(), plan.end(), [](const Step &a, const Step &b) { return a.at < b.at; });
@@ -121,7 +142,8 @@
         if (step.at + step.lasts > length - calm) {
             plan.push_back(lastRelease);
             plan.push_back(lastEdit);
-            return sorted(withEvacuations(withConfigurationSteps(withOddEntries(std::move(plan), seed, length), seed, length, calm), seed, length));
+            plan = withConfigurationSteps(withOddEntries(std::move(plan), seed, length), seed, length, calm);
+            return sorted(withSlowInstance(withEvacuations(std::move(plan), seed, length), seed, length, calm));
         }
         plan.push_back(step);
     }
--- a/soak/plan.h
+++ b/soak/plan.h
@@ -40,6 +40,8 @@
     RefuseStore, // a third of the instances get HTTP status 503 or 429 from the store
     // drawn apart
     EvacuateZone, // planned: an operator evacuates a zone and ends that later
+    // drawn apart
+    SlowInstance, // it gets a quarter of a processor in short slices; its callers have to be served all the same
     Count,
 };
 
--- a/tests/flowprocess.h
+++ b/tests/flowprocess.h
@@ -137,12 +137,12 @@
 struct FlowProcess
 {
     FlowProcess(const std::string &name, const Endpoint &store, const std::string &host = "127.0.0.1", uint16_t peerPort = freePort(),
-                const std::vector<std::string> &seeds = {}, const nlohmann::json &moreFlows = nlohmann::json::object())
+                const std::vector<std::string> &seeds = {}, const nlohmann::json &moreFlows = nlohmann::json::object(), const std::string &zone = "here")
         : file(std::filesystem::temp_directory_path() / (name + std::to_string(::getpid()) + ".json"))
     {
         nlohmann::json settings{
             { "name", name },
-            { "zone", "here" },
+            { "zone", zone },
             { "address", host },
             { "peer_port", peerPort },
             { "metrics_port", this->metrics.port },
