--- a/tests/overloadedtargets_test.cpp
+++ b/tests/overloadedtargets_test.cpp
@@ -15,7 +15,7 @@
 {
     OverloadFixture()
     {
-        this->forwarder.setInstanceCount(instances);
+        this->forwarder.setInstanceCounts(instances, instances);
         this->load({ makeTarget("b1"), makeTarget("b2"), makeTarget("b3"), makeTarget("b4") });
         this->run(seconds(2));
         this->opened = this->establish(1);
