Warm-up: new flows of cold targets stay within rate x excess + slack, summed over all instances

Cause: a cold target received as many opening packets as a warm one. Its remaining warm-up time was checked and not used.

The remaining time of a target and the rate and time of a service are read from the store and passed between members; a time that only counts down is no change of an entry. A cold target's limit is divided among up to four members of its own zone, by rendezvous hashing. A member uses its share only while two thirds of the members that it knows confirm the same view of the zone (new message ViewConfirmation, at most 6 KB/s, only while cold targets have a limit), and for 2.6 s after a change of the members nobody does. So the sum holds with different views, in a zone that is cut, after restarts and pauses. Callers go to other zones; if all targets of a service are cold and without budget, they are refused at once. Without the setting `warmup_excess`, or a rate, there is no limit.

tests/sharing_test.cpp: toMessage() takes the time as a second argument.

--- a/src/apps/flowdaemon.cpp
+++ b/src/apps/flowdaemon.cpp
@@ -65,6 +65,7 @@
         , tickTimer(this->context)
         , stopTimer(this->context)
     {
+        this->forwarder.setBudgetShares(this->store.budgetShares());
     }
 
     int run()
@@ -291,6 +292,7 @@
         this->forwarder.setInstanceCount(this->store.liveInstances());
         FlowActions actions;
         this->forwarder.tick(actions);
+        this->store.setSharesNeeded(this->forwarder.coldTargets().limitedInOwnZone > 0);
         this->perform(actions);
         this->store.tick();
         this->beginReceiveWhenReady();
--- a/src/apps/flowlog.cpp
+++ b/src/apps/flowlog.cpp
@@ -2,6 +2,7 @@
 
 #include "apps/flowpages.h"
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 
 namespace hornbeam {
@@ -135,6 +136,22 @@
     }
 }
 
+void FlowLog::onTargetWarmup(const Target &target, bool isCold, std::optional<uint32_t> limit)
+{
+    const std::string event = isCold ? "target_cold" : "target_warm";
+    if (!this->log.admits(event)) {
+        return;
+    }
+    Fields fields{ { "target", target.record.name }, { "service", target.record.service }, { "zone", target.record.zone } };
+    if (isCold) {
+        const Duration remaining = std::max(target.coldUntil, target.startColdUntil) - this->clock.now();
+        fields["remaining_ms"] = std::chrono::duration_cast<milliseconds>(remaining).count();
+        fields["cause"] = target.coldUntil >= target.startColdUntil ? "entry" : "start";
+        fields["limit"] = limit.has_value() ? Fields(*limit) : Fields();
+    }
+    this->log.add(event, fields);
+}
+
 int64_t FlowLog::ageMillis(TimePoint since) const
 {
     constexpr int64_t never = -1;
--- a/src/apps/flowlog.h
+++ b/src/apps/flowlog.h
@@ -22,6 +22,7 @@
     void onTargetChange(const TargetChange &change) override;
     void onTargetHealth(const Target &target, CheckOutcome outcome) override;
     void onTargetSuspected(const Target &target, Duration grace) override;
+    void onTargetWarmup(const Target &target, bool isCold, std::optional<uint32_t> limit) override;
 
 private:
     int64_t ageMillis(TimePoint since) const;
--- a/src/apps/flowpages.cpp
+++ b/src/apps/flowpages.cpp
@@ -45,6 +45,8 @@
         text += gauge("flow_targets{phase=\"" + std::string(nameOf(static_cast<TargetPhase>(i))) + "\"}", static_cast<double>(phases.at(i)));
     }
     text += gauge("flow_targets_silent", static_cast<double>(silent));
+    text += gauge("flow_targets_cold", static_cast<double>(forwarder.coldTargets().all));
+    text += gauge("flow_targets_cold_limited", static_cast<double>(forwarder.coldTargets().limitedInOwnZone));
     return text;
 }
 
@@ -62,6 +64,7 @@
                          { "silent_age_s", ageSeconds(target->silentSince, now) },
                          { "progress_age_s", ageSeconds(target->lastProgress, now) },
                          { "refused_age_s", ageSeconds(target->refusedAt, now) },
+                         { "cold", target->isCold(now) },
                          { "failed_checks", target->failedChecks },
                          { "open_flows", target->openFlows },
                          { "outstanding_requests", target->outstandingRequests },
--- a/src/apps/flowstore.cpp
+++ b/src/apps/flowstore.cpp
@@ -5,6 +5,7 @@
 #include "apps/peerlink.h"
 #include "apps/storereadersettings.h"
 #include "apps/storereadings.h"
+#include "balancing/viewagreement.h"
 #include "membership/membership.h"
 #include "platform/flowobjects.h"
 #include "platform/platformclient.h"
@@ -72,6 +73,7 @@
               context, Endpoint{ settings.address, settings.peerPort }, peerWorkers, keys, this->counters,
               [this](const PeerMessage &message) { this->onMessage(message); }, [this](MemberId member) { return this->membership.endpointOf(member); })
         , rotation(RotationSettings{}, zoneIdOf(settings.zone))
+        , agreement(AgreementSettings{}, this->membership.self(), clock.now())
         , sharing(makeStoreReaderSettings(*settings.flows).sharing, this->membership, clock, this->counters, observer)
         , client(context, this->counters, makePlatformSettings(settings))
         , targets(
@@ -83,8 +85,10 @@
         , seeds(
               this->client, clock, seed + 2, settings.zone, Endpoint{ settings.address, settings.peerPort },
               [this](const Endpoint &peer) { this->addSeed(peer); }, makeSeedSettings(*settings.flows))
+        , hasWarmupBounds(settings.flows->parts.warmupExcess.has_value())
     {
         for (const uint32_t host : settings.flows->seedHosts) {
+            this->settingsSeeds.insert(memberIdFor({ host, settings.peerPort }));
             this->addSeed({ host, settings.peerPort });
         }
         this->targets.setFailureCallback([this](const PlatformReply &reply) { this->onFailure(StoreResource::Targets, reply); });
@@ -98,6 +102,7 @@
         Actions out;
         this->membership.tick(out);
         this->sharing.tick(out);
+        this->agreement.tick(this->clock.now(), out);
         this->link.send(out);
         this->updateMembers();
         this->tickWatcher(StoreResource::Targets);
@@ -206,7 +211,9 @@
         }
         std::visit(
             [this, &out](const auto &typed) {
-                if constexpr (requires { this->membership.onMessage(typed, out); }) {
+                if constexpr (std::is_same_v<std::decay_t<decltype(typed)>, ViewConfirmation>) {
+                    this->agreement.onMessage(typed, this->clock.now());
+                } else if constexpr (requires { this->membership.onMessage(typed, out); }) {
                     this->membership.onMessage(typed, out);
                 } else if constexpr (requires { this->sharing.onMessage(typed, out); }) {
                     this->sharing.onMessage(typed, out);
@@ -221,6 +228,33 @@
     void addSeed(const Endpoint &peer)
     {
         this->membership.addSeed(memberIdFor(peer), unknownZone, peer);
+        this->hasSeeds = true;
+    }
+
+    SeedContact seedContact() const
+    {
+        const auto isMet = [this](MemberId seed) { return this->membership.find(seed).has_value(); };
+        if (!this->settingsSeeds.empty()) {
+            return { this->settingsSeeds.size(), static_cast<size_t>(std::count_if(this->settingsSeeds.begin(), this->settingsSeeds.end(), isMet)) };
+        }
+        // The seeds in the store may be of instances that have ended long ago: one member of the zone is enough.
+        const bool isAlone = this->seeds.hasBeenRead() && !this->hasSeeds;
+        const bool knowsOthers = this->membership.eligibleIn(this->membership.self().zone).size() > 1;
+        return { 1, isAlone || knowsOthers ? size_t{ 1 } : 0 };
+    }
+
+    void updateAgreement(const std::vector<MemberRecord> &members, TimePoint now)
+    {
+        if (!this->hasWarmupBounds) {
+            return;
+        }
+        this->agreement.setMembers(members, this->seedContact(), now);
+        const bool isConfirmed = this->agreement.isConfirmed(now);
+        if (this->areSharesNeeded && isConfirmed != this->wasViewConfirmed) {
+            this->wasViewConfirmed = isConfirmed;
+            this->logEvent(isConfirmed ? "view_confirmed" : "view_unconfirmed",
+                           { { "members", this->agreement.holderCount() }, { "quorum", this->agreement.quorum() } });
+        }
     }
 
     void updateSeeds()
@@ -244,6 +278,7 @@
         this->nextMemberUpdate = now + memberUpdateInterval;
         this->updateSeeds();
         const std::vector<MemberRecord> members = this->membership.members();
+        this->updateAgreement(members, now);
         this->liveMembers = std::count_if(members.begin(), members.end(), [](const MemberRecord &member) { return isLive(member.state); });
         if (this->rotation.update(members, this->membership.zoneContacts(), now)) {
             this->logEvent(this->rotation.isOutOfRotation() ? "rotation_left" : "rotation_rejoined", { { "members", members.size() } });
@@ -272,7 +307,8 @@
         return this->counters.text() + readingGauges(StoreResource::Targets, this->targets, this->clock.now())
             + readingGauges(StoreResource::Configuration, this->configurations, this->clock.now()) + "hornbeam_members_live "
             + std::to_string(this->liveMembers) + "\nhornbeam_store_reader " + (this->sharing.isReader(StoreResource::Targets) ? "1" : "0")
-            + "\nhornbeam_rotation_aside " + (this->rotation.isOutOfRotation() ? "1" : "0") + "\n";
+            + "\nhornbeam_view_confirmed " + (this->agreement.isConfirmed(this->clock.now()) ? "1" : "0") + "\nhornbeam_rotation_aside "
+            + (this->rotation.isOutOfRotation() ? "1" : "0") + "\n";
     }
 
     std::string membersPage() const
@@ -306,6 +342,7 @@
     Membership membership;
     PeerLink link;
     RotationPolicy rotation;
+    ViewAgreement agreement;
     SharedStoreReader sharing;
     PlatformClient client;
     ObjectWatcher targets;
@@ -316,7 +353,12 @@
     std::array<bool, static_cast<size_t>(StoreResource::Count)> wasReaderOf{}; // as of the last tick
     std::array<bool, static_cast<size_t>(StoreResource::Count)> wasOutdated{ true, true };
     std::set<std::string> unknownKinds; // logged
-    size_t liveMembers = 1;             // of all zones, including this instance
+    const bool hasWarmupBounds;
+    std::set<MemberId> settingsSeeds;
+    bool hasSeeds = false; // the settings or the store name other instances
+    bool areSharesNeeded = false;
+    bool wasViewConfirmed = false; // when last logged
+    size_t liveMembers = 1;        // of all zones, including this instance
     TimePoint nextMemberUpdate;
 };
 
@@ -380,6 +422,17 @@
     return this->impl->rotation.isOutOfRotation();
 }
 
+void FlowStore::setSharesNeeded(bool isNeeded)
+{
+    this->impl->areSharesNeeded = isNeeded;
+    this->impl->agreement.setNeeded(isNeeded);
+}
+
+const BudgetShares &FlowStore::budgetShares() const
+{
+    return this->impl->agreement;
+}
+
 size_t FlowStore::liveInstances() const
 {
     return this->impl->liveMembers;
--- a/src/apps/flowstore.h
+++ b/src/apps/flowstore.h
@@ -4,6 +4,7 @@
 // to leave the rotation.
 
 #include "apps/settings.h"
+#include "balancing/budgetshares.h"
 #include "sharing/sharedstorereader.h"
 
 #include <functional>
@@ -50,6 +51,10 @@
 
     /** Whether this instance should be out of the routers' rotation, because its zone has lost more than half of its members. */
     bool isOutOfRotation() const;
+    /** Sets whether this instance needs shares of limits that hold for all instances. */
+    void setSharesNeeded(bool isNeeded);
+    /** This instance's shares of such limits. Valid as long as this object. */
+    const BudgetShares &budgetShares() const;
     /** Number of live instances in all zones, including this one. */
     size_t liveInstances() const;
     /** Counters and gauges in the Prometheus text format. */
--- a/src/apps/tunables.cpp
+++ b/src/apps/tunables.cpp
@@ -128,6 +128,8 @@
     flowTunable<&FlowSettings::overloadLimitPercent>("overload_limit_percent", 1, 1'000'000),
     flowTunable<&FlowSettings::overloadRejectedPercent>("overload_rejected_percent", 1, 100),
     flowTunable<&FlowSettings::minAnswersForAdmission>("answers_to_admit", 1, 1'000'000),
+    flowTunable<&FlowSettings::warmupSlack>("warmup_slack", 0, 1'000'000),
+    flowTunable<&FlowSettings::warmupWindow>("warmup_window_ms", 1000, 10'000),
     flowTunable<&FlowSettings::maxFlows>("max_flows", 1, 1U << 24U),
 };
 
@@ -175,6 +177,11 @@
         fields.number(row.key, row.low, row.high, number);
         row.set(flows, number);
     }
+    if (fields.has("warmup_excess")) {
+        constexpr double highest = 1000;
+        flows.warmupExcess = 1;
+        fields.decimal("warmup_excess", 0, highest, *flows.warmupExcess);
+    }
 }
 
 void writeFlowTunables(const FlowSettings &flows, nlohmann::json &object)
@@ -182,6 +189,9 @@
     for (const FlowTunable &row : flowTunables) {
         object[row.key] = row.get(flows);
     }
+    if (flows.warmupExcess.has_value()) {
+        object["warmup_excess"] = *flows.warmupExcess;
+    }
 }
 
 void writeTunables(const NodeSettings &node, nlohmann::json &object)
--- a/src/core/jsonfields.cpp
+++ b/src/core/jsonfields.cpp
@@ -72,6 +72,19 @@
     value = field->get<uint64_t>();
 }
 
+void JsonFields::decimal(const std::string &key, double low, double high, double &value)
+{
+    const nlohmann::json *field = this->find(key);
+    if (field == nullptr) {
+        return;
+    }
+    if (!field->is_number() || field->get<double>() < low || field->get<double>() > high) {
+        this->fault(key, "a number from " + nlohmann::json(low).dump() + " to " + nlohmann::json(high).dump());
+        return;
+    }
+    value = field->get<double>();
+}
+
 void JsonFields::text(const std::string &key, std::string &value)
 {
     const nlohmann::json *field = this->find(key);
--- a/src/core/jsonfields.h
+++ b/src/core/jsonfields.h
@@ -41,6 +41,8 @@
     bool require(const std::string &key, const std::string &allowed);
     /** Reads an unsigned integer in the range [low, high]. */
     void number(const std::string &key, uint64_t low, uint64_t high, uint64_t &value);
+    /** Reads a number in the range [low, high] that may have decimals. */
+    void decimal(const std::string &key, double low, double high, double &value);
     /** Reads a string without further validation. */
     void text(const std::string &key, std::string &value);
     /** Reads a string that satisfies isValidName. */
--- a/src/flows/flowcounters.cpp
+++ b/src/flows/flowcounters.cpp
@@ -8,9 +8,9 @@
 constexpr std::string_view resetNames[] = { "none",          "route_unknown",  "route_dropped", "no_target", "target_departed",
                                             "target_silent", "target_unknown", "overloaded",    "restricted" };
 static_assert(std::size(resetNames) == static_cast<size_t>(ResetReason::Count));
-constexpr std::string_view eventNames[] = { "packets_forwarded", "flows_placed",  "flows_moved",        "flows_forgotten",
-                                            "placed_other_zone", "checks_begun",  "checks_failed",      "targets_silenced",
-                                            "targets_recovered", "sends_refused", "checks_inconclusive" };
+constexpr std::string_view eventNames[] = { "packets_forwarded", "flows_placed",   "flows_moved",        "flows_forgotten",   "placed_other_zone",
+                                            "checks_begun",      "checks_failed",  "targets_silenced",   "targets_recovered", "sends_refused",
+                                            "cold_openings",     "warmup_limited", "checks_inconclusive" };
 static_assert(std::size(eventNames) == static_cast<size_t>(FlowCounter::Count));
 
 void appendLine(std::string &out, const std::string &name, const std::string &labels, uint64_t value)
--- a/src/flows/flowcounters.h
+++ b/src/flows/flowcounters.h
@@ -46,6 +46,8 @@
     TargetsSilenced,    // targets marked silent
     TargetsRecovered,   // silent targets back in use
     SendsRefused,       // datagrams rejected by the kernel
+    ColdOpenings,       // opening packets sent to cold targets
+    WarmupLimited,      // opening packets refused because all usable targets are cold and have received their limit
     ChecksInconclusive, // refused checks of targets that may be overloaded
     Count,
 };
--- a/src/flows/flowforwarder.cpp
+++ b/src/flows/flowforwarder.cpp
@@ -10,6 +10,7 @@
 
 namespace {
 constexpr Duration expiryInterval = seconds(1);
+constexpr Duration coldTargetInterval = milliseconds(100); // until a target that has become cold is counted and reported
 }
 
 FlowForwarder::FlowForwarder(const FlowSettings &settings, ZoneId ownZone, uint64_t seed, const Clock &clock, FlowObserver &observer)
@@ -21,7 +22,9 @@
     , tracker(this->settings, this->counters.events[static_cast<size_t>(FlowCounter::FlowsForgotten)])
     , health(this->settings, this->counters)
     , placement(this->settings, this->directory, ownZone, seed)
+    , warmup(this->settings, this->routes, ownZone)
 {
+    this->placement.addRule(this->warmup);
 }
 
 //--- Incoming packets
@@ -68,6 +71,7 @@
     if (isPermitted && (isAnswering || isMoveLimitReached) && this->mayRepeatOpening(*previousTarget, now)) {
         ++known->openings;
         known->lastSeen = now;
+        this->countColdOpening(*previousTarget, now);
         this->placement.recordOpening(*previousTarget, now);
         this->observer.onOpeningRepeated(*known, route, this->routes.version());
         return this->forwardTo(previousTarget, previousTarget->token); // if the target is answering, a packet was lost
@@ -82,8 +86,10 @@
     case PlacementOutcome::Overloaded:
         return this->rejectOverloaded(packet, route, *result.target, result.verdict);
     default:
+        this->counters.add(FlowCounter::WarmupLimited, result.restriction == CandidateStatus::WarmupLimited ? 1 : 0);
         return this->rejectWithReset(packet, result.outcome == PlacementOutcome::Restricted ? ResetReason::Restricted : ResetReason::NoTarget, nullptr);
     }
+    this->countColdOpening(*result.target, now);
     FlowState &state = this->tracker.add(packet.flow, now);
     state.openingSequence = packet.sequence;
     state.kind = route.kind;
@@ -242,6 +248,7 @@
         this->observer.onTargetChange(change);
         const TargetPtr &target = change.target;
         if (change.isNew) {
+            this->warmup.onListed(*target, this->clock.now());
             if (target->isSilent()) {
                 this->scheduleRecheck(target); // a known silent target whose entry has returned
             }
@@ -358,9 +365,36 @@
     this->instanceCount = count;
 }
 
+void FlowForwarder::setBudgetShares(const BudgetShares &shares)
+{
+    this->warmup.setShares(shares);
+}
+
+void FlowForwarder::countColdOpening(const Target &target, TimePoint now)
+{
+    this->counters.add(FlowCounter::ColdOpenings, target.isCold(now) ? 1 : 0);
+}
+
+void FlowForwarder::updateColdTargets(TimePoint now)
+{
+    if (now < this->nextColdUpdate) {
+        return;
+    }
+    this->nextColdUpdate = now + coldTargetInterval;
+    const std::vector<TargetPtr> targets = this->directory.all();
+    for (const TargetPtr &target : targets) {
+        if (target->wasCold != target->isCold(now)) {
+            target->wasCold = !target->wasCold;
+            this->observer.onTargetWarmup(*target, target->wasCold, this->warmup.limitOf(*target));
+        }
+    }
+    this->cold = this->warmup.count(targets, now);
+}
+
 void FlowForwarder::tick(FlowActions &out)
 {
     const TimePoint now = this->clock.now();
+    this->updateColdTargets(now);
     for (FlowState *state : this->tracker.takeUnansweredOpenings(now - this->settings.openingTimeout)) {
         if (this->health.needsCheck(*state->target, state->firstSeen, now)) {
             this->beginCheck(state->target, out);
@@ -389,6 +423,7 @@
         this->nextExpiry = now + expiryInterval;
         this->tracker.expire(now, this->routes.idleTimeout());
         this->directory.expire(now);
+        this->warmup.expire(now);
     }
 }
 
@@ -421,6 +456,11 @@
     return this->directory;
 }
 
+const ColdTargets &FlowForwarder::coldTargets() const
+{
+    return this->cold;
+}
+
 const FlowCounters &FlowForwarder::flowCounters() const
 {
     return this->counters;
--- a/src/flows/flowforwarder.h
+++ b/src/flows/flowforwarder.h
@@ -14,6 +14,7 @@
 #include "flows/placement.h"
 #include "flows/routetable.h"
 #include "flows/targetdirectory.h"
+#include "flows/warmuprule.h"
 
 namespace hornbeam {
 
@@ -75,6 +76,13 @@
         static_cast<void>(target);
         static_cast<void>(grace);
     }
+    /** A target has become cold or warm. `limit`: the opening packets that it may receive in a second from all instances; nothing without a limit. */
+    virtual void onTargetWarmup(const Target &target, bool isCold, std::optional<uint32_t> limit)
+    {
+        static_cast<void>(target);
+        static_cast<void>(isCold);
+        static_cast<void>(limit);
+    }
 };
 
 //--- Forwarder
@@ -100,6 +108,9 @@
     void endCheck(const TargetPtr &target, CheckOutcome outcome, FlowActions &out);
     /** Sets the number of live instances in all zones, including this one. */
     void setInstanceCount(size_t count);
+    /** Sets what divides the limits of cold targets among instances; until then, such targets get no new flows. Precondition: `shares` outlives the forwarder.
+     */
+    void setBudgetShares(const BudgetShares &shares);
     /** Detects unanswered packets, starts due checks and expires old flows. Call about every 20 ms. */
     void tick(FlowActions &out);
 
@@ -107,6 +118,8 @@
     bool isReady() const;
     const RouteTable &routeTable() const;
     const TargetDirectory &targetDirectory() const;
+    /** Cold targets as of the last tick. */
+    const ColdTargets &coldTargets() const;
     const FlowCounters &flowCounters() const;
     FlowCounters &flowCounters();
     /** Histogram of the time from a request to the first acknowledgement of its answer. */
@@ -133,6 +146,8 @@
     void scheduleRecheck(const TargetPtr &target);
     void beginCheck(const TargetPtr &target, FlowActions &out);
     void handleTargetChanges(const std::vector<TargetChange> &changes, FlowActions &out);
+    void updateColdTargets(TimePoint now);
+    void countColdOpening(const Target &target, TimePoint now);
     bool isConfigurationFresh() const;
     bool mayBeFull(const Target &target) const;
     CheckContext checkContextOf(const Target &target, CheckOutcome outcome) const;
@@ -147,6 +162,9 @@
     FlowTracker tracker;
     PassiveHealth health;
     FlowPlacement placement;
+    WarmupRule warmup;
+    ColdTargets cold;
+    TimePoint nextColdUpdate;
     AnswerTimes answers;
     std::vector<TargetPtr> rechecks; // silent targets, and draining targets that refused a connection
     size_t instanceCount = 1;
--- a/src/flows/flowsettings.h
+++ b/src/flows/flowsettings.h
@@ -6,6 +6,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 
 namespace hornbeam {
 
@@ -52,6 +53,11 @@
     uint32_t overloadRejectedPercent = 50; // share of rejected flows from which overloadLimitPercent applies
     uint32_t minAnswersForAdmission = 64;  // answers of a route before its new flows can be rejected
 
+    // warm-up of cold targets
+    std::optional<double> warmupExcess;         // factor of the warm-up rate that a cold target may receive; without it there is no limit
+    uint32_t warmupSlack = 0;                   // opening packets in a second that it may receive in addition
+    Duration warmupWindow = milliseconds(1100); // a second, and the time by which the delays of two packets to a target may differ
+
     // flow table
     Duration closedFlowRetention = seconds(2); // so that retransmissions of its last packets are still matched to the flow
     size_t maxFlows = 32768;                   // less than 1 KB each (bench-forward); packets of evicted flows are still forwarded by token
--- a/src/flows/routetable.cpp
+++ b/src/flows/routetable.cpp
@@ -29,6 +29,7 @@
     this->routes = std::move(newRoutes);
     this->flowIdleTimeout = configuration.idleTimeout;
     this->connectionLimits = configuration.connectionLimits;
+    this->warmups = configuration.warmups;
     this->currentVersion = configuration.version;
     this->loaded = true;
     return Update::Applied;
@@ -60,6 +61,13 @@
     return this->flowIdleTimeout;
 }
 
+const ServiceWarmup &RouteTable::warmupOf(const std::string &service) const
+{
+    static const ServiceWarmup none;
+    const auto found = this->warmups.find(service);
+    return found == this->warmups.end() ? none : found->second;
+}
+
 uint32_t RouteTable::connectionLimitOf(const std::string &service) const
 {
     const auto found = this->connectionLimits.find(service);
--- a/src/flows/routetable.h
+++ b/src/flows/routetable.h
@@ -7,6 +7,7 @@
 #include "flows/flowpacket.h"
 
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -46,12 +47,22 @@
     bool operator==(const Route &) const = default;
 };
 
+/** How the cold targets of a service are warmed up. */
+struct ServiceWarmup
+{
+    std::optional<uint32_t> ratePerMille; // thousandths of an opening packet per second and target
+    Duration time{ 0 };                   // that a target is cold after a start during traffic
+
+    bool operator==(const ServiceWarmup &) const = default;
+};
+
 struct RouteConfiguration
 {
     uint64_t version = 0; // increases monotonically
     std::vector<Route> routes;
     Duration idleTimeout = seconds(60);               // of a flow
     std::map<std::string, uint32_t> connectionLimits; // by service: open flows that each of its targets accepts; no entry if unknown
+    std::map<std::string, ServiceWarmup> warmups;     // by service; no entry if the service has none
 };
 
 /** Not thread safe: owned by one event loop. */
@@ -76,6 +87,8 @@
     Duration idleTimeout() const;
     /** Number of open flows that each target of a service accepts; 0 if unknown. */
     uint32_t connectionLimitOf(const std::string &service) const;
+    /** How a service's targets are warmed up; defaults if the configuration says nothing about it. */
+    const ServiceWarmup &warmupOf(const std::string &service) const;
     size_t size() const;
     /** The active routes, sorted by name. */
     std::vector<Route> all() const;
@@ -95,6 +108,7 @@
     std::unordered_set<Endpoint> droppedAddresses;
     Duration flowIdleTimeout = seconds(60);
     std::map<std::string, uint32_t> connectionLimits;
+    std::map<std::string, ServiceWarmup> warmups;
 };
 
 } // namespace hornbeam
--- a/src/flows/targetdirectory.cpp
+++ b/src/flows/targetdirectory.cpp
@@ -176,6 +176,7 @@
         changes.push_back({ slot, TargetPhase::Departed, true });
     }
     slot->record = record;
+    slot->coldUntil = record.remainingWarmupMs == 0 ? TimePoint{} : now + milliseconds(record.remainingWarmupMs);
     const TargetPhase phase = record.isDraining ? TargetPhase::Draining : TargetPhase::Ready;
     if (isNew) {
         slot->phase = phase;
--- a/src/flows/targetdirectory.h
+++ b/src/flows/targetdirectory.h
@@ -30,6 +30,7 @@
     uint64_t incarnation = 0; // of this process
     uint32_t slots = 1;       // concurrent requests that the target serves, at least 1
     bool isDraining = false;
+    uint32_t remainingWarmupMs = 0; // when the entry was read; 0: the target is not cold
 
     bool operator==(const TargetRecord &) const = default;
 };
@@ -58,6 +59,12 @@
     uint32_t openFlows = 0;
     uint32_t outstandingRequests = 0; // opening packets and requests without an answer
 
+    // updated by TargetDirectory and WarmupRule
+    TimePoint coldUntil;      // as its entry says
+    TimePoint startColdUntil; // after a start that this instance has seen
+    TimePoint firstListed;    // when this instance first had its entry
+    bool wasCold = false;     // when last reported
+
     // updated by AnswerTimes
     double slowness = 1;  // moving average of its answer times relative to the means of their routes
     uint32_t answers = 0; // number of measured answers
@@ -80,6 +87,11 @@
     TimePoint waitingSince;            // since when an overdue request on an open flow has waited while no flow was answered; TimePoint{} if there is none
     Duration waitingRouteMean{ 0 };    // mean answer time of that request's route
 
+    /** Whether the target is warming up. */
+    bool isCold(TimePoint now) const
+    {
+        return now < this->coldUntil || now < this->startColdUntil;
+    }
     bool isSilent() const
     {
         return this->silentSince != TimePoint{};
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -151,7 +151,7 @@
                 this->requestEngine.onRecordHandover(typed, out);
             } else if constexpr (std::is_same_v<Typed, TableVersions> || std::is_same_v<Typed, TablePull> || std::is_same_v<Typed, TableText>) {
                 this->sync.onMessage(typed, out);
-            } else if constexpr (std::is_same_v<Typed, StoreQuery> || std::is_same_v<Typed, StoreResponse>) {
+            } else if constexpr (std::is_same_v<Typed, StoreQuery> || std::is_same_v<Typed, StoreResponse> || std::is_same_v<Typed, ViewConfirmation>) {
                 // exchanged only between instances that forward flows
             } else {
                 this->feedEngine.onMessage(typed, out);
--- a/src/peer/membermessages.h
+++ b/src/peer/membermessages.h
@@ -2,7 +2,7 @@
 
 // Messages about members and tables between the system's processes; see messages.h.
 //
-// Sections: members | table
+// Sections: members | agreement on members | table
 
 #include "core/types.h"
 
@@ -119,6 +119,27 @@
     }
 };
 
+//--- Agreement on members
+
+/** Sent to each member of the own zone while it has cold targets: the sender's view of the zone. Two-way, so that the receiver knows how old it is at most. */
+struct ViewConfirmation
+{
+    MemberId sender = 0;
+    Incarnation incarnation = 0; // of the sender
+    uint64_t sequence = 0;       // increases with each round of the sender
+    uint64_t viewHash = 0;       // of the zone's members as the sender knows them
+    bool isHeld = false;         // the sender has had this view for long enough to confirm it
+    bool isNeeded = false;       // the sender asks for confirmations itself
+    Incarnation echoIncarnation = 0;
+    uint64_t echoSequence = 0; // of the latest confirmation from the receiver; 0: none
+
+    template<typename Visitor>
+    void visitFields(Visitor &visit)
+    {
+        visit(this->sender, this->incarnation, this->sequence, this->viewHash, this->isHeld, this->isNeeded, this->echoIncarnation, this->echoSequence);
+    }
+};
+
 //--- Table
 
 /** The version of a service's table in force at the sender. */
--- a/src/peer/storemessages.h
+++ b/src/peer/storemessages.h
@@ -37,13 +37,13 @@
     uint64_t incarnation = 0;
     uint32_t slots = 1;
     bool isDraining = false;
-    uint32_t unused = 0;   // formerly the remaining warm-up time; keeps the position of the fields behind it
-    uint64_t revision = 0; // revision of the entry's last change
+    uint32_t remainingWarmupMs = 0; // when the message was sent
+    uint64_t revision = 0;          // revision of the entry's last change
 
     template<typename Visitor>
     void visitFields(Visitor &visit)
     {
-        visit(this->name, this->service, this->address, this->zone, this->deliveryId, this->incarnation, this->slots, this->isDraining, this->unused,
+        visit(this->name, this->service, this->address, this->zone, this->deliveryId, this->incarnation, this->slots, this->isDraining, this->remainingWarmupMs,
               this->revision);
     }
 };
@@ -107,6 +107,21 @@
     }
 };
 
+/** How the cold targets of a service are warmed up. */
+struct StoreWarmup
+{
+    std::string service;
+    bool hasRate = false;
+    uint32_t ratePerMille = 0; // thousandths of an opening packet per second and target
+    uint32_t timeMs = 0;
+
+    template<typename Visitor>
+    void visitFields(Visitor &visit)
+    {
+        visit(this->service, this->hasRate, this->ratePerMille, this->timeMs);
+    }
+};
+
 /** The configuration in force at the sender, as differences from the requester's. */
 struct StoreConfigurationChanges
 {
@@ -120,12 +135,13 @@
     std::vector<Endpoint> removed;
     std::vector<StoreConnectionLimit> connectionLimits; // of all services that have one
     uint64_t unusableRevision = 0;                      // of the newest configuration that the sender could not parse; 0: none
+    std::vector<StoreWarmup> warmups;                   // of all services that have one
 
     template<typename Visitor>
     void visitFields(Visitor &visit)
     {
         visit(this->from, this->revision, this->ageMs, this->hasContent, this->version, this->flowIdleTimeoutMs, this->routes, this->removed,
-              this->connectionLimits, this->unusableRevision);
+              this->connectionLimits, this->unusableRevision, this->warmups);
     }
 };
 
--- a/src/sharing/configurationview.cpp
+++ b/src/sharing/configurationview.cpp
@@ -109,6 +109,9 @@
     for (const auto &[service, connections] : newest.connectionLimits) {
         changes.connectionLimits.push_back({ service, connections });
     }
+    for (const auto &[service, warmup] : newest.warmups) {
+        changes.warmups.push_back({ service, warmup.ratePerMille.has_value(), warmup.ratePerMille.value_or(0), toMillis(warmup.time) });
+    }
     return changes;
 }
 
@@ -131,6 +134,9 @@
     for (const StoreConnectionLimit &limit : changes.connectionLimits) {
         configuration.connectionLimits[limit.service] = limit.connections;
     }
+    for (const StoreWarmup &warmup : changes.warmups) {
+        configuration.warmups[warmup.service] = { warmup.hasRate ? std::optional(warmup.ratePerMille) : std::nullopt, milliseconds(warmup.timeMs) };
+    }
     for (auto &[address, route] : routes) {
         configuration.routes.push_back(std::move(route));
     }
--- a/src/sharing/targetview.cpp
+++ b/src/sharing/targetview.cpp
@@ -7,9 +7,19 @@
 
 namespace {
 constexpr size_t maxGaps = 16;
+// An entry states the remaining warm-up time as of its last write, and is read up to this much later. Only larger differences are changes.
+constexpr Duration warmupTolerance = seconds(2);
+
+bool isSame(const TargetEntry &known, const TargetEntry &entry, TimePoint now)
+{
+    TargetRecord record = entry.record;
+    record.remainingWarmupMs = known.record.remainingWarmupMs;
+    const Duration shift = std::max(now, known.coldUntil) - std::max(now, entry.coldUntil);
+    return record == known.record && shift <= warmupTolerance && -shift <= warmupTolerance;
+}
 }
 
-StoreTarget toMessage(const TargetEntry &entry)
+StoreTarget toMessage(const TargetEntry &entry, TimePoint now)
 {
     const TargetRecord &record = entry.record;
     StoreTarget target;
@@ -21,6 +31,7 @@
     target.incarnation = record.incarnation;
     target.slots = record.slots;
     target.isDraining = record.isDraining;
+    target.remainingWarmupMs = static_cast<uint32_t>(std::max<int64_t>(0, std::chrono::ceil<milliseconds>(entry.coldUntil - now).count()));
     target.revision = entry.revision;
     return target;
 }
@@ -36,6 +47,7 @@
     entry.record.incarnation = target.incarnation;
     entry.record.slots = std::max(1U, target.slots);
     entry.record.isDraining = target.isDraining;
+    entry.record.remainingWarmupMs = target.remainingWarmupMs;
     entry.revision = target.revision;
     return entry;
 }
@@ -53,12 +65,15 @@
         return TargetUpdate{ false, this->coveredRevision, this->coveredRevision, TimePoint{}, {}, {} };
     }
     this->confirmed = std::max(this->confirmed, update.requestedAt);
+    for (TargetEntry &entry : update.updated) {
+        entry.coldUntil = entry.record.remainingWarmupMs == 0 ? TimePoint{} : now + milliseconds(entry.record.remainingWarmupMs);
+    }
     if (update.isSnapshot) {
         return this->applySnapshot(std::move(update), now);
     }
     std::erase_if(update.updated, [&](const TargetEntry &entry) {
         const auto known = this->entries.find(entry.record.name);
-        return known != this->entries.end() && (known->second.revision >= entry.revision || known->second.record == entry.record);
+        return known != this->entries.end() && (known->second.revision >= entry.revision || isSame(known->second, entry, now));
     });
     for (const TargetEntry &entry : update.updated) {
         this->add(entry);
@@ -74,7 +89,7 @@
     for (const TargetEntry &entry : update.updated) {
         names.insert(entry.record.name);
         const auto known = this->entries.find(entry.record.name);
-        if (known == this->entries.end() || !(known->second.record == entry.record)) {
+        if (known == this->entries.end() || !isSame(known->second, entry, now)) {
             this->add(entry);
         }
     }
@@ -138,7 +153,7 @@
     changes.ageMs = static_cast<uint32_t>(std::chrono::ceil<milliseconds>(now - this->confirmed).count());
     for (const auto &[name, known] : this->entries) {
         if (known.revision > revision) {
-            changes.updated.push_back(toMessage(known));
+            changes.updated.push_back(toMessage(known, now));
         }
     }
     for (const auto &[name, tombstone] : this->tombstones) {
--- a/src/sharing/targetview.h
+++ b/src/sharing/targetview.h
@@ -15,6 +15,7 @@
 {
     TargetRecord record;
     uint64_t revision = 0;
+    TimePoint coldUntil = TimePoint{}; // TimePoint{} if the target is not cold; set by TargetView
 };
 
 /** Targets from one response of the store or of a member: a snapshot or the changes since a revision. */
@@ -79,7 +80,7 @@
 };
 
 /** Converts between entries and their message form. Thread safe. */
-StoreTarget toMessage(const TargetEntry &entry);
+StoreTarget toMessage(const TargetEntry &entry, TimePoint now);
 TargetEntry fromMessage(const StoreTarget &target);
 
 } // namespace hornbeam
--- a/src/store/seedlist.cpp
+++ b/src/store/seedlist.cpp
@@ -64,6 +64,11 @@
     }
 }
 
+bool SeedList::hasBeenRead() const
+{
+    return this->wasRead;
+}
+
 void SeedList::read()
 {
     this->isCallPending = true;
@@ -78,6 +83,7 @@
         this->nextCallAt = now + this->settings.retryDelay;
         return;
     }
+    this->wasRead = true;
     this->isRead = true; // NotFound counts as empty: the store may not know a prefix without objects
     this->nextCallAt = now;
     this->version = 0;
--- a/src/store/seedlist.h
+++ b/src/store/seedlist.h
@@ -32,6 +32,8 @@
 
     /** `live`: the other live members of the zone. `isKeeper`: whether this instance writes the zone's object. Call it a few times a second. */
     void tick(const std::vector<Endpoint> &live, bool isKeeper);
+    /** Whether the store has been read at least once. */
+    bool hasBeenRead() const;
 
 private:
     void read();
@@ -48,6 +50,7 @@
     std::vector<Endpoint> listedSeeds; // in the zone's object, as last read or written
     uint64_t version = 0;              // of that object; 0 if absent
     bool isRead = false;
+    bool wasRead = false;       // at least once
     bool isCallPending = false; // waiting for a response
     TimePoint nextCallAt;
 };
--- a/tests/flowplatform_test.cpp
+++ b/tests/flowplatform_test.cpp
@@ -213,6 +213,25 @@
     }
 }
 
+// Guards against cold targets without a limit, and against a configuration that is rejected because of a service's fields.
+TEST_CASE("the warm-up rate and time of a service and the remaining time of a target are read")
+{
+    const auto warmupsOf = [](const json &service) {
+        json spec = configurationSpec();
+        spec["services"].push_back(service);
+        const ParsedConfiguration parsed = parseConfiguration({ "config/main", 3, spec.dump(), false });
+        REQUIRE(parsed.configuration.has_value());
+        return parsed.configuration->warmups;
+    };
+    CHECK(warmupsOf({ { "name", "trim" }, { "warmupRateS", 2.5 }, { "warmupS", 20 } })
+          == std::map<std::string, ServiceWarmup>{ { "trim", { 2500, seconds(20) } } });
+    CHECK(warmupsOf({ { "name", "trim" }, { "warmupRateS", 0 } }) == std::map<std::string, ServiceWarmup>{ { "trim", { 0, {} } } });
+    CHECK(warmupsOf({ { "name", "trim" }, { "warmupS", 20 } }) == std::map<std::string, ServiceWarmup>{ { "trim", { std::nullopt, seconds(20) } } });
+    CHECK(warmupsOf({ { "name", "trim" } }).empty());
+    CHECK(warmupsOf({ { "name", "trim" }, { "warmupRateS", "fast" } }).empty());
+    CHECK(parseTarget(targetObject()).record->remainingWarmupMs == 250);
+}
+
 // Guards against a configuration that never comes into force, with all its other edits, because one of its numbers isn't an integer.
 TEST_CASE("numbers of a configuration that aren't whole are used")
 {
--- a/tests/settings_test.cpp
+++ b/tests/settings_test.cpp
@@ -129,6 +129,18 @@
         REQUIRE(again.faults.empty());
         CHECK(again.settings->flows->stability == seconds(4));
     }
+    SECTION("warm-up bounds are optional, and the excess may have decimals")
+    {
+        CHECK_FALSE(parseSettings(object.dump()).settings->flows->parts.warmupExcess.has_value());
+        object["flows"]["warmup_excess"] = 1.5;
+        object["flows"]["warmup_slack"] = 5;
+        const CheckedSettings checked = parseSettings(object.dump());
+        REQUIRE(checked.faults.empty());
+        CHECK(checked.settings->flows->parts.warmupExcess == 1.5);
+        CHECK(parseSettings(writeSettings(*checked.settings)).settings->flows->parts.warmupExcess == 1.5);
+        object["flows"]["warmup_excess"] = "much";
+        CHECK(parseSettings(object.dump()).faults.size() == 1);
+    }
     SECTION("the time until an entry lapses follows the heartbeat")
     {
         object["flows"]["target_heartbeat_ms"] = 770;
--- a/tests/sharing_test.cpp
+++ b/tests/sharing_test.cpp
@@ -45,6 +45,7 @@
         next.routes.erase(next.routes.begin());
         next.routes.front().priority = 3;
         next.connectionLimits["booking"] = 2000;
+        next.warmups = { { "booking", { 2500, seconds(20) } }, { "catalogue", { std::nullopt, seconds(5) } } };
         zone.store.configure(next, zone.clock.now());
         const size_t before = zone.calls();
         CHECK(zone.runUntil(seconds(5), [&] { return zone.allHaveVersion(2); }) < seconds(1));
@@ -52,6 +53,7 @@
         for (const auto &node : zone.nodes) {
             CHECK(node->configuration.routes.size() == 4);
             CHECK(node->configuration.connectionLimits.at("booking") == 2000);
+            CHECK(node->configuration.warmups == next.warmups);
             CHECK(std::count_if(node->configuration.routes.begin(), node->configuration.routes.end(), [](const Route &route) { return route.priority == 3; })
                   == 1);
         }
@@ -193,7 +195,7 @@
     lateResponse.sender = zone.at(reader).directory.selfRecord.id;
     lateResponse.incarnation = zone.at(follower).directory.selfRecord.incarnation;
     lateResponse.targets.revision = zone.store.revision + 100;
-    lateResponse.targets.updated.push_back(toMessage({ makeTarget("ghost"), zone.store.revision + 50 }));
+    lateResponse.targets.updated.push_back(toMessage({ makeTarget("ghost"), zone.store.revision + 50 }, {}));
     Actions out;
 
     SECTION("response to another request")
