--- a/soak/faultsmain.cpp
+++ b/soak/faultsmain.cpp
@@ -68,10 +68,10 @@
     std::erase_if(plan,
                   [&](const Step &step) { return std::find(options.without.begin(), options.without.end(), nameOf(step.kind)) != options.without.end(); });
     const RunResult result = play(options, seed, plan);
-    std::printf("seed %llu: %zu steps, %llu flows opened, %llu requests answered, %llu tries failed, %llu resets, %zu broken\n",
+    std::printf("seed %llu: %zu steps, %llu flows opened, %llu requests answered, %llu tries failed, %llu resets, %llu openings of cold targets, %zu broken\n",
                 static_cast<unsigned long long>(seed), plan.size(), static_cast<unsigned long long>(result.opened),
                 static_cast<unsigned long long>(result.answered), static_cast<unsigned long long>(result.failed),
-                static_cast<unsigned long long>(result.resets), result.findings.size());
+                static_cast<unsigned long long>(result.resets), static_cast<unsigned long long>(result.coldOpenings), result.findings.size());
     if (result.findings.empty() && result.answered > 0) {
         std::filesystem::remove_all(logDirOf(seed));
         return true;
--- a/soak/instances.cpp
+++ b/soak/instances.cpp
@@ -52,7 +52,9 @@
                           { "readiness_address", toString({ instance.address, readinessPort }) },
                           { "drain_bound_ms", millis(drainBound) },
                           { "change_bound_ms", millis(changeBound) },
-                          { "stability_ms", millis(stability) } };
+                          { "stability_ms", millis(stability) },
+                          { "warmup_excess", warmupExcess },
+                          { "warmup_slack", warmupSlack } };
     const std::string fresh = instance.settingsFile + ".new";
     std::ofstream(fresh) << settings;
     std::filesystem::rename(fresh, instance.settingsFile);
--- a/soak/operators.cpp
+++ b/soak/operators.cpp
@@ -79,7 +79,14 @@
 void Operators::list(SoakTarget &target)
 {
     target.isListed = true;
-    this->write([this, &target] { this->put(std::string(targetPrefix) + target.record.name, standins::writeTarget(target.record)); });
+    this->write([this, &target] { this->putEntry(target); });
+}
+
+void Operators::putEntry(SoakTarget &target)
+{
+    const Duration cold = std::max(Duration{ 0 }, target.coldUntil - this->clock.now());
+    target.record.remainingWarmupMs = static_cast<uint32_t>(std::chrono::ceil<milliseconds>(cold).count());
+    this->put(std::string(targetPrefix) + target.record.name, standins::writeTarget(target.record));
 }
 
 void Operators::unlist(SoakTarget &target, bool isGone)
@@ -97,7 +104,7 @@
 {
     target.record.isDraining = true;
     this->write([this, &target, done = std::move(done)] {
-        this->put(std::string(targetPrefix) + target.record.name, standins::writeTarget(target.record));
+        this->putEntry(target);
         target.refusesSince = this->clock.now();
         done();
     });
@@ -152,6 +159,8 @@
         this->version += 1 + this->random() % 5;
         configuration.version = this->version;
         configuration.idleTimeout = seconds(15);
+        constexpr uint32_t perMille = 1000;
+        configuration.warmups = { { "booking", { warmupRate * perMille, warmupTime } }, { "catalogue", { warmupRate * perMille, warmupTime } } };
         for (const RouteLife &life : this->routes) {
             if (life.dropped == TimePoint{} && !this->isDropping(life)) {
                 configuration.routes.push_back(life.route);
--- a/soak/operators.h
+++ b/soak/operators.h
@@ -65,6 +65,7 @@
 
     void write(std::function<void()> change);
     void put(const std::string &key, const std::string &value);
+    void putEntry(SoakTarget &target);
     void call(boost::beast::http::verb verb, const std::string &path, const std::string &body);
     const RouteLife *findLife(const Endpoint &address) const;
     bool isDropping(const RouteLife &life) const;
--- a/soak/run.cpp
+++ b/soak/run.cpp
@@ -55,7 +55,7 @@
         this->tick();
         this->context.run();
         this->instances->stopAll();
-        return { this->findings.lines, this->callers.answered, this->callers.failed, this->callers.resets, this->targets.opened };
+        return { this->findings.lines, this->callers.answered, this->callers.failed, this->callers.resets, this->targets.opened, this->targets.coldOpenings };
     }
 
 private:
--- a/soak/run.h
+++ b/soak/run.h
@@ -26,6 +26,7 @@
     uint64_t failed = 0; // tries
     uint64_t resets = 0;
     uint64_t opened = 0;
+    uint64_t coldOpenings = 0; // opening packets that cold targets got
 };
 
 /** Plays one run. Blocks until its end; all processes that it started have ended then. */
--- a/soak/targets.cpp
+++ b/soak/targets.cpp
@@ -45,6 +45,7 @@
     const auto host = boost::asio::ip::address_v4(target->record.address.address);
     target->packets = std::make_unique<udp::socket>(this->context, udp::endpoint(host, targetPort));
     target->checks = std::make_unique<tcp::acceptor>(this->context, tcp::endpoint(host, targetPort));
+    target->coldUntil = this->findings.start == TimePoint{} ? TimePoint{} : this->clock.now() + warmupTime;
     SoakTarget &added = *target;
     this->targets.push_back(std::move(target));
     this->receive(added);
@@ -140,6 +141,7 @@
     if (this->hooks.takeProbe(packet.flow, target, instance)) {
         return;
     }
+    this->checkWarmup(target, now);
     const Route *route = this->hooks.findRoute(packet.flow.service);
     if (route == nullptr || route->shares.front().service != target.record.service) {
         this->findings.add(now, "target " + target.record.name + " of " + target.record.service + " got a new flow of another service's route");
@@ -159,6 +161,18 @@
     this->send(oneWay, { packet.flow, packet.token, flow.sequence, packet.sequence + 1, target.record.name, true, false, false });
 }
 
+void Targets::checkWarmup(SoakTarget &target, TimePoint now)
+{
+    target.openings.push_back(now);
+    while (now - target.openings.front() >= seconds(1)) {
+        target.openings.pop_front();
+    }
+    if (now < target.coldUntil && target.openings.size() > warmupLimit) {
+        this->findings.add(now, "cold target " + target.record.name + " got " + std::to_string(target.openings.size()) + " opening packets in a second");
+    }
+    this->coldOpenings += now < target.coldUntil ? 1 : 0;
+}
+
 void Targets::onPacket(SoakTarget &target, const FlowPacket &packet, const uint8_t *content)
 {
     const auto found = target.flows.find(packet.flow);
--- a/soak/targets.h
+++ b/soak/targets.h
@@ -42,7 +42,9 @@
     std::unique_ptr<boost::asio::ip::tcp::acceptor> checks;
     bool isFrozen = false;
     bool isListed = false;
-    TimePoint refusesSince; // when the store acknowledged that it drains or is gone; TimePoint{} before
+    TimePoint refusesSince;         // when the store acknowledged that it drains or is gone; TimePoint{} before
+    TimePoint coldUntil;            // TimePoint{} if it has never been cold
+    std::deque<TimePoint> openings; // opening packets of the last second
     Disturbance disturbance;
     std::array<uint8_t, 2048> buffer{};
     boost::asio::ip::udp::endpoint sender;
@@ -79,7 +81,7 @@
 public:
     Targets(boost::asio::io_context &context, const Clock &clock, Findings &findings, TargetHooks hooks);
 
-    /** Starts a target on an address, or on a new one when `address` is 0. */
+    /** Starts a target on an address, or on a new one when `address` is 0. It is cold if there is traffic. */
     SoakTarget &add(const std::string &service, const std::string &zone, const Endpoint &address);
     /** Ends a target's process: its flows are gone, its address refuses. */
     void end(SoakTarget &target);
@@ -91,12 +93,14 @@
 
     uint32_t network = 0; // 127.x.y.0 of the run's targets
     uint64_t opened = 0;
+    uint64_t coldOpenings = 0; // opening packets that cold targets got
     uint64_t ran = 0;
 
 private:
     void receive(SoakTarget &target);
     void onDatagram(SoakTarget &target, size_t size);
     void onOpening(SoakTarget &target, const FlowPacket &packet);
+    void checkWarmup(SoakTarget &target, TimePoint now);
     void onPacket(SoakTarget &target, const FlowPacket &packet, const uint8_t *content);
     void runRequest(SoakTarget &target, const FlowPacket &packet, SoakTarget::Flow &flow, const uint8_t *content);
     void send(Duration delay, Answer answer);
--- a/standins/flowwire.cpp
+++ b/standins/flowwire.cpp
@@ -73,7 +73,7 @@
                      { "version", "v1" },
                      { "slots", record.slots },
                      { "state", record.isDraining ? "draining" : "ready" },
-                     { "warmupLeftMs", 0 },
+                     { "warmupLeftMs", record.remainingWarmupMs },
                      { "seqNo", 1 },
                      { "born", record.incarnation } };
     return spec.dump();
@@ -94,9 +94,17 @@
                            { "service", route.shares.front().service },
                            { "maxAttempts", 1 } });
     }
+    json services = json::array();
+    for (const auto &[service, warmup] : configuration.warmups) {
+        constexpr double perMille = 1000;
+        services.push_back({ { "name", service }, { "warmupS", std::chrono::duration<double>(warmup.time).count() } });
+        if (warmup.ratePerMille.has_value()) {
+            services.back()["warmupRateS"] = *warmup.ratePerMille / perMille;
+        }
+    }
     const json spec{ { "version", configuration.version },
                      { "routes", std::move(routes) },
-                     { "services", json::array() },
+                     { "services", std::move(services) },
                      { "limits", { { "idleTimeoutMs", millis(configuration.idleTimeout) } } } };
     return spec.dump();
 }
