--- a/src/apps/flowlog.h
+++ b/src/apps/flowlog.h
@@ -24,6 +24,7 @@
     void onTargetHealth(const Target &target, CheckOutcome outcome) override;
     void onTargetSuspected(const Target &target, Duration grace) override;
     void onZoneShareChange(const ZoneShareChange &change) override;
+    void onTargetWarmup(const Target &target, bool isCold, std::optional<uint32_t> limit) override;
 
 private:
     int64_t ageMillis(TimePoint since) const;
--- a/src/apps/flowpages.cpp
+++ b/src/apps/flowpages.cpp
@@ -64,6 +64,8 @@
         text += gauge("flow_zone_own_waiting_seconds" + label, seconds(shares.ownWaiting()));
         text += gauge("flow_zone_expected_gain_seconds" + label, seconds(shares.expectedGain()));
     }
+    text += gauge("flow_targets_cold", static_cast<double>(forwarder.coldTargets().all));
+    text += gauge("flow_targets_cold_limited", static_cast<double>(forwarder.coldTargets().limitedInOwnZone));
     return text;
 }
 
@@ -81,6 +83,7 @@
                          { "silent_age_s", ageSeconds(target->silentSince, now) },
                          { "progress_age_s", ageSeconds(target->lastProgress, now) },
                          { "refused_age_s", ageSeconds(target->refusedAt, now) },
+                         { "cold", target->isCold(now) },
                          { "failed_checks", target->failedChecks },
                          { "new_flows", nameOf(forwarder.candidateStatusOf(*target)) },
                          { "open_flows", target->openFlows },
--- a/src/apps/flowstore.cpp
+++ b/src/apps/flowstore.cpp
@@ -8,6 +8,7 @@
 #include "apps/storereadersettings.h"
 #include "apps/storereadings.h"
 #include "balancing/loadreports.h"
+#include "balancing/memberbudgetshares.h"
 #include "balancing/zoneloads.h"
 #include "membership/membership.h"
 #include "platform/flowobjects.h"
@@ -68,6 +69,7 @@
               [this](const PeerMessage &message) { this->onMessage(message); }, [this](MemberId member) { return this->membership.endpointOf(member); })
         , rotation(RotationSettings{}, zoneIdOf(settings.zone))
         , overload(*settings.flows, this->membership.self(), clock, this->counters, this->logEvent)
+        , warmupShares(BudgetShareSettings{}, this->membership.self(), clock.now())
         , sharing(makeStoreReaderSettings(*settings.flows).sharing, this->membership, clock, this->counters, observer)
         , loadReports(settings.flows->parts.reports, this->membership, clock)
         , zoneLoads(makeZoneLoadSettings(*settings.flows), this->membership, clock, seed + 3)
@@ -75,8 +77,10 @@
         , seeds(
               this->client, clock, seed + 2, settings.zone, Endpoint{ settings.address, settings.peerPort },
               [this](const Endpoint &peer) { this->addSeed(peer); }, SeedSettings{ .isFirstStart = settings.flows->isFirstStart })
+        , hasWarmupBounds(settings.flows->parts.warmupExcess.has_value())
     {
         for (const uint32_t host : settings.flows->seedHosts) {
+            this->settingsSeeds.insert(memberIdFor({ host, settings.peerPort }));
             this->addSeed({ host, settings.peerPort });
         }
         const StoreReaderSettings reading = makeStoreReaderSettings(*settings.flows);
@@ -195,6 +199,33 @@
     void addSeed(const Endpoint &peer)
     {
         this->membership.addSeed(memberIdFor(peer), unknownZone, peer);
+        this->hasSeeds = true;
+    }
+
+    SeedContact seedContact() const
+    {
+        const auto isMet = [this](MemberId seed) { return this->membership.find(seed).has_value(); };
+        if (!this->settingsSeeds.empty()) {
+            return { this->settingsSeeds.size(), static_cast<size_t>(std::count_if(this->settingsSeeds.begin(), this->settingsSeeds.end(), isMet)) };
+        }
+        // The seeds in the store may be of instances that have ended long ago: one member of the zone is enough.
+        const bool isAlone = this->seeds.hasBeenRead() && !this->hasSeeds;
+        const bool knowsOthers = this->membership.eligibleIn(this->membership.self().zone).size() > 1;
+        return { 1, isAlone || knowsOthers ? size_t{ 1 } : 0 };
+    }
+
+    void updateWarmupShares(const std::vector<MemberRecord> &members, TimePoint now)
+    {
+        if (!this->hasWarmupBounds) {
+            return;
+        }
+        this->warmupShares.setMembers(members, this->seedContact(), now);
+        const bool isSettled = this->warmupShares.isSettled(now);
+        if (this->areSharesNeeded && isSettled != this->wereSharesSettled) {
+            this->wereSharesSettled = isSettled;
+            this->logEvent(isSettled ? "warmup_shares_settled" : "warmup_shares_unsettled",
+                           { { "live", this->warmupShares.liveMembers() }, { "known", this->warmupShares.knownMembers() } });
+        }
     }
 
     void updateSeeds()
@@ -218,6 +249,7 @@
         this->nextMemberUpdate = now + memberUpdateInterval;
         this->updateSeeds();
         const std::vector<MemberRecord> members = this->membership.members();
+        this->updateWarmupShares(members, now);
         this->liveMembers = std::count_if(members.begin(), members.end(), [](const MemberRecord &member) { return isLive(member.state); });
         this->liveZoneMembers = std::count_if(
             members.begin(), members.end(), [this](const MemberRecord &member) { return isLive(member.state) && member.zone == this->membership.self().zone; });
@@ -257,8 +289,9 @@
         }
         return text + "hornbeam_members_live " + std::to_string(this->liveMembers) + "\nhornbeam_store_reader "
             + (this->sharing.isReader(StoreResource::Targets) ? "1" : "0") + "\nhornbeam_rotation_aside " + (this->rotation.isOutOfRotation() ? "1" : "0")
-            + "\nhornbeam_load_reports_fresh " + std::to_string(this->loadReports.reported().reports) + "\nhornbeam_load_report_bytes_total "
-            + std::to_string(this->loadReports.bytesSent()) + "\n" + this->overload.gauges();
+            + "\nhornbeam_warmup_shares_settled " + (this->warmupShares.isSettled(this->clock.now()) ? "1" : "0") + "\nhornbeam_load_reports_fresh "
+            + std::to_string(this->loadReports.reported().reports) + "\nhornbeam_load_report_bytes_total " + std::to_string(this->loadReports.bytesSent())
+            + "\n" + this->overload.gauges();
     }
 
     std::string membersPage() const
@@ -280,6 +313,7 @@
     PeerLink link;
     RotationPolicy rotation;
     OverloadRotation overload;
+    MemberBudgetShares warmupShares;
     SharedStoreReader sharing;
     LoadReports loadReports;
     OwnLoad ownLoad; // to be reported
@@ -288,8 +322,13 @@
     std::map<StoreResource, std::unique_ptr<ResourceReading>> readings; // of the resources that the deployment uses
     SeedList seeds;
     std::set<std::string> unknownKinds; // logged
-    size_t liveMembers = 1;             // of all zones, including this instance
-    size_t liveZoneMembers = 1;         // of the own zone, including this instance
+    const bool hasWarmupBounds;
+    std::set<MemberId> settingsSeeds;
+    bool hasSeeds = false; // the settings or the store name other instances
+    bool areSharesNeeded = false;
+    bool wereSharesSettled = false; // when last logged
+    size_t liveMembers = 1;         // of all zones, including this instance
+    size_t liveZoneMembers = 1;     // of the own zone, including this instance
     TimePoint nextMemberUpdate;
 };
 
@@ -358,6 +397,16 @@
     return this->impl->zoneLoads;
 }
 
+void FlowStore::setSharesNeeded(bool isNeeded)
+{
+    this->impl->areSharesNeeded = isNeeded;
+}
+
+const BudgetShares &FlowStore::budgetShares() const
+{
+    return this->impl->warmupShares;
+}
+
 size_t FlowStore::liveInstances() const
 {
     return this->impl->liveMembers;
--- a/src/apps/flowstore.h
+++ b/src/apps/flowstore.h
@@ -4,6 +4,7 @@
 // to leave the rotation.
 
 #include "apps/settings.h"
+#include "balancing/budgetshares.h"
 #include "balancing/loadreports.h"
 #include "rotation/overloaddetector.h"
 #include "sharing/sharedstorereader.h"
@@ -57,6 +58,10 @@
     bool isOutOfRotation() const;
     /** Reports of the load of other zones. Valid until this object ends. */
     ZoneLoads &zoneLoads();
+    /** Sets whether this instance needs shares of limits that hold for all instances. */
+    void setSharesNeeded(bool isNeeded);
+    /** This instance's shares of such limits. Valid as long as this object. */
+    const BudgetShares &budgetShares() const;
     /** Number of live instances in all zones, including this one. */
     size_t liveInstances() const;
     /** Sets the load that is reported to members of the own zone. */
--- a/src/flows/flowcounters.cpp
+++ b/src/flows/flowcounters.cpp
@@ -11,7 +11,8 @@
 static_assert(std::size(resetNames) == static_cast<size_t>(ResetReason::Count));
 constexpr std::string_view eventNames[] = { "packets_forwarded", "flows_placed",        "flows_moved",        "flows_forgotten",    "placed_other_zone",
                                             "checks_begun",      "checks_failed",       "targets_silenced",   "targets_recovered",  "sends_refused",
-                                            "evacuations_begun", "checks_inconclusive", "refused_by_waiting", "placed_other_share", "placed_by_zone_share" };
+                                            "evacuations_begun", "checks_inconclusive", "refused_by_waiting", "placed_other_share", "placed_by_zone_share",
+                                            "cold_openings",     "warmup_limited" };
 static_assert(std::size(eventNames) == static_cast<size_t>(FlowCounter::Count));
 
 void appendLine(std::string &out, const std::string &name, const std::string &labels, uint64_t value)
--- a/src/flows/flowcounters.h
+++ b/src/flows/flowcounters.h
@@ -50,6 +50,8 @@
     TargetsRecovered,   // silent targets back in use
     SendsRefused,       // datagrams rejected by the kernel
     EvacuationsBegun,   // evacuations of a zone that came into force here
+    ColdOpenings,       // opening packets sent to cold targets
+    WarmupLimited,      // opening packets refused because all usable targets are cold and have received their limit
     ChecksInconclusive, // refused checks of targets that may be overloaded
     RefusedByWaiting,   // new flows refused because of the expected waiting time of their service
     PlacedOtherShare,   // flows placed on another service of their route because the selected one had no capacity
--- a/src/flows/flowforwarder.cpp
+++ b/src/flows/flowforwarder.cpp
@@ -10,6 +10,7 @@
 
 namespace {
 constexpr Duration expiryInterval = seconds(1);
+constexpr Duration coldTargetInterval = milliseconds(100); // until a target that has become cold is counted and reported
 }
 
 FlowForwarder::FlowForwarder(const FlowSettings &settings, ZoneId ownZone, uint64_t seed, const Clock &clock, FlowObserver &observer)
@@ -22,8 +23,10 @@
     , health(this->settings, this->counters)
     , evacuations(this->settings)
     , placement(this->settings, this->directory, ownZone, seed)
+    , warmup(this->settings, this->routes, ownZone)
 {
     this->placement.addRule(this->evacuations);
+    this->placement.addRule(this->warmup);
 }
 
 //--- Incoming packets
@@ -73,6 +76,7 @@
     if (isPermitted && (isAnswering || isMoveLimitReached) && this->mayRepeatOpening(*previousTarget, now)) {
         ++known->openings;
         known->lastSeen = now;
+        this->countColdOpening(*previousTarget, now);
         this->placement.recordOpening(*previousTarget, now);
         this->observer.onOpeningRepeated(*known, route, this->routes.version());
         return this->forwardTo(previousTarget, previousTarget->token); // if the target is answering, a packet was lost
@@ -96,6 +100,7 @@
     default:
         return this->rejectWithReset(packet, ResetReason::NoTarget, nullptr);
     }
+    this->countColdOpening(*result.target, now);
     FlowState &state = this->tracker.add(packet.flow, now);
     state.openingSequence = packet.sequence;
     state.kind = route.kind;
@@ -214,6 +219,7 @@
 {
     const ResetReason reason = placement.restriction == CandidateStatus::Evacuated ? ResetReason::Evacuated : ResetReason::Restricted;
     this->counters.add(reason);
+    this->counters.add(FlowCounter::WarmupLimited, placement.restriction == CandidateStatus::WarmupLimited ? 1 : 0);
     PacketDecision decision;
     decision.kind = PacketDecision::Kind::Reset;
     decision.reset = { packet.flow, packet.sequence };
@@ -287,6 +293,7 @@
         this->observer.onTargetChange(change);
         const TargetPtr &target = change.target;
         if (change.isNew) {
+            this->warmup.onListed(*target, this->clock.now());
             if (target->isSilent()) {
                 this->scheduleRecheck(target); // a known silent target whose entry has returned
             }
@@ -419,9 +426,36 @@
     this->placement.onReportedLoad(load);
 }
 
+void FlowForwarder::setBudgetShares(const BudgetShares &shares)
+{
+    this->warmup.setShares(shares);
+}
+
+void FlowForwarder::countColdOpening(const Target &target, TimePoint now)
+{
+    this->counters.add(FlowCounter::ColdOpenings, target.isCold(now) ? 1 : 0);
+}
+
+void FlowForwarder::updateColdTargets(TimePoint now)
+{
+    if (now < this->nextColdUpdate) {
+        return;
+    }
+    this->nextColdUpdate = now + coldTargetInterval;
+    const std::vector<TargetPtr> targets = this->directory.all();
+    for (const TargetPtr &target : targets) {
+        if (target->wasCold != target->isCold(now)) {
+            target->wasCold = !target->wasCold;
+            this->observer.onTargetWarmup(*target, target->wasCold, this->warmup.limitOf(*target));
+        }
+    }
+    this->cold = this->warmup.count(targets, now);
+}
+
 void FlowForwarder::tick(FlowActions &out)
 {
     const TimePoint now = this->clock.now();
+    this->updateColdTargets(now);
     for (FlowState *state : this->tracker.takeUnansweredOpenings(now - this->settings.openingTimeout)) {
         if (this->health.needsCheck(*state->target, state->firstSeen, now)) {
             this->beginCheck(state->target, out);
@@ -454,6 +488,7 @@
         this->nextExpiry = now + expiryInterval;
         this->tracker.expire(now, this->routes.idleTimeout());
         this->directory.expire(now);
+        this->warmup.expire(now);
     }
 }
 
@@ -506,6 +541,11 @@
     return this->placement.zoneRouting();
 }
 
+const ColdTargets &FlowForwarder::coldTargets() const
+{
+    return this->cold;
+}
+
 const FlowCounters &FlowForwarder::flowCounters() const
 {
     return this->counters;
--- a/src/sharing/entryview.h
+++ b/src/sharing/entryview.h
@@ -27,6 +27,7 @@
 {
     Record record; // has a `name`, unique among the entries of its kind
     uint64_t revision = 0;
+    TimePoint coldUntil = TimePoint{}; // TimePoint{} if the target is not cold; set by EntryView
 };
 
 using TargetEntry = StoreEntry<TargetRecord>;
@@ -48,9 +49,9 @@
 using EvacuationUpdate = EntryUpdate<EvacuationRecord>;
 
 /** Converts between entries and their message form. Thread safe. */
-StoreTarget toMessage(const TargetEntry &entry);
+StoreTarget toMessage(const TargetEntry &entry, TimePoint now);
 TargetEntry fromMessage(const StoreTarget &target);
-StoreEvacuation toMessage(const EvacuationEntry &entry);
+StoreEvacuation toMessage(const EvacuationEntry &entry, TimePoint now);
 EvacuationEntry fromMessage(const StoreEvacuation &evacuation);
 
 /** Not thread safe: one event loop owns it. */
@@ -60,7 +61,7 @@
 public:
     using Entry = StoreEntry<Record>;
     using Update = EntryUpdate<Record>;
-    using Changes = StoreEntryChanges<decltype(toMessage(std::declval<const Entry &>()))>;
+    using Changes = StoreEntryChanges<decltype(toMessage(std::declval<const Entry &>(), TimePoint{}))>;
 
     /** Keeps tombstones of removed entries for `removalRetention`. */
     explicit EntryView(Duration removalRetention);
--- a/tests/settings_test.cpp
+++ b/tests/settings_test.cpp
@@ -145,6 +145,18 @@
         object["flows"]["evacuation_bound_ms"] = 1500;
         CHECK_FALSE(makeStoreReaderSettings(*parseSettings(object.dump()).settings->flows).sharing.isShared);
     }
+    SECTION("warm-up bounds are optional, and the excess may have decimals")
+    {
+        CHECK_FALSE(parseSettings(object.dump()).settings->flows->parts.warmupExcess.has_value());
+        object["flows"]["warmup_excess"] = 1.5;
+        object["flows"]["warmup_slack"] = 5;
+        const CheckedSettings checked = parseSettings(object.dump());
+        REQUIRE(checked.faults.empty());
+        CHECK(checked.settings->flows->parts.warmupExcess == 1.5);
+        CHECK(parseSettings(writeSettings(*checked.settings)).settings->flows->parts.warmupExcess == 1.5);
+        object["flows"]["warmup_excess"] = "much";
+        CHECK(parseSettings(object.dump()).faults.size() == 1);
+    }
     SECTION("the time until an entry lapses follows the heartbeat")
     {
         object["flows"]["target_heartbeat_ms"] = 770;
