--- a/src/apps/tunables.cpp
+++ b/src/apps/tunables.cpp
@@ -172,6 +172,7 @@
     flowPartTunable<&FlowSettings::waiting, &WaitingSettings::preferredDemandPercent>("preferred_demand_percent", 0, 1'000),
     flowPartTunable<&FlowSettings::waiting, &WaitingSettings::targetQueue>("target_queue", 1, 10'000),
     flowPartTunable<&FlowSettings::waiting, &WaitingSettings::minAnswers>("answers_to_expect", 1, 1'000'000),
+    flowPartTunable<&FlowSettings::waiting, &WaitingSettings::responseAge>("response_age_ms", 50, 60'000),
     flowPartTunable<&FlowSettings::waiting, &WaitingSettings::overflowPercent>("share_overflow_percent", 0, 100),
     flowPartTunable<&FlowSettings::waiting, &WaitingSettings::window>("waiting_window_ms", 20, 10'000),
     flowPartTunable<&FlowSettings::waiting, &WaitingSettings::ackDelay>("ack_delay_ms", 0, 1'000),
--- a/src/flows/placement.cpp
+++ b/src/flows/placement.cpp
@@ -183,13 +183,19 @@
 {
     const CandidateFilter filter{ this->rules, now };
     for (const std::string &service : this->services) {
-        this->waiting.update(service, this->occupancyOf(service, filter), now);
+        this->waiting.update(service, this->occupancyOf(service, filter, now), now);
     }
 }
 
+// Requests at a target behind a cut link or of an ended process are no queue, and say nothing about the waiting time at the other targets.
+bool FlowPlacement::isUnresponsive(const Target &target, TimePoint now) const
+{
+    return target.outstandingRequests > 0 && target.lastProgress != TimePoint{} && now - target.lastProgress > this->settings.waiting.responseAge;
+}
+
 // Assumes that other zones send as many requests to the targets of this zone as this one to theirs. A zone with few targets counts on all targets, because
 // its flows go to other zones.
-ServiceOccupancy FlowPlacement::occupancyOf(const std::string &service, const CandidateFilter &filter) const
+ServiceOccupancy FlowPlacement::occupancyOf(const std::string &service, const CandidateFilter &filter, TimePoint now) const
 {
     ServiceOccupancy occupancy;
     double slots = 0;
@@ -197,7 +203,7 @@
     size_t targets = 0;
     for (const TargetPtr &target : this->directory.targetsOf(service)) {
         const bool isUsable = target->phase == TargetPhase::Ready && !target->isSilent() && filter.statusOf(*target) != CandidateStatus::Evacuated;
-        if (!isUsable) {
+        if (!isUsable || this->isUnresponsive(*target, now)) {
             continue;
         }
         occupancy.outstanding += target->outstandingRequests;
--- a/src/flows/placement.h
+++ b/src/flows/placement.h
@@ -113,7 +113,8 @@
     TargetPtr chooseTarget(const std::vector<TargetPtr> &candidates, const TargetPtr &excluded, const CandidateFilter &filter, Placement &placement);
     void admit(Placement &placement, const Route &route, TimePoint now);
     bool placeOnOtherShare(Placement &placement, const Route &route, const PlacementRequest &request, TimePoint now);
-    ServiceOccupancy occupancyOf(const std::string &service, const CandidateFilter &filter) const;
+    bool isUnresponsive(const Target &target, TimePoint now) const;
+    ServiceOccupancy occupancyOf(const std::string &service, const CandidateFilter &filter, TimePoint now) const;
 
     const FlowSettings &settings;
     const TargetDirectory &directory;
