--- a/soak/instances.cpp
+++ b/soak/instances.cpp
@@ -53,7 +53,9 @@
                           { "drain_bound_ms", millis(drainBound) },
                           { "change_bound_ms", millis(changeBound) },
                           { "evacuation_bound_ms", millis(evacuationBound) },
-                          { "stability_ms", millis(stability) } };
+                          { "stability_ms", millis(stability) },
+                          { "warmup_excess", warmupExcess },
+                          { "warmup_slack", warmupSlack } };
     const std::string fresh = instance.settingsFile + ".new";
     std::ofstream(fresh) << settings;
     std::filesystem::rename(fresh, instance.settingsFile);
--- a/src/apps/flowdaemon.cpp
+++ b/src/apps/flowdaemon.cpp
@@ -69,6 +69,7 @@
         , stopTimer(this->context)
     {
         this->forwarder.setZoneLoads(&this->store.zoneLoads());
+        this->forwarder.setBudgetShares(this->store.budgetShares());
     }
 
     int run()
@@ -305,6 +306,7 @@
         this->forwarder.setInstanceCounts(this->store.liveInstances(), this->store.liveZoneInstances());
         FlowActions actions;
         this->forwarder.tick(actions);
+        this->store.setSharesNeeded(this->forwarder.coldTargets().limitedInOwnZone > 0);
         this->perform(actions);
         this->store.setOwnLoad(this->forwarder.ownLoad());
         this->store.tick(load);
--- a/src/apps/tunables.cpp
+++ b/src/apps/tunables.cpp
@@ -172,6 +172,7 @@
     flowPartTunable<&FlowSettings::waiting, &WaitingSettings::preferredDemandPercent>("preferred_demand_percent", 0, 1'000),
     flowPartTunable<&FlowSettings::waiting, &WaitingSettings::targetQueue>("target_queue", 1, 10'000),
     flowPartTunable<&FlowSettings::waiting, &WaitingSettings::minAnswers>("answers_to_expect", 1, 1'000'000),
+    flowPartTunable<&FlowSettings::waiting, &WaitingSettings::responseAge>("response_age_ms", 50, 60'000),
     flowPartTunable<&FlowSettings::waiting, &WaitingSettings::overflowPercent>("share_overflow_percent", 0, 100),
     flowPartTunable<&FlowSettings::waiting, &WaitingSettings::window>("waiting_window_ms", 20, 10'000),
     flowPartTunable<&FlowSettings::waiting, &WaitingSettings::ackDelay>("ack_delay_ms", 0, 1'000),
@@ -180,6 +181,8 @@
     flowPartTunable<&FlowSettings::reports, &LoadReportSettings::interval>("report_interval_ms", 50, 10'000),
     flowPartTunable<&FlowSettings::reports, &LoadReportSettings::lifetime>("report_lifetime_ms", 100, 60'000),
     flowTunable<&FlowSettings::choiceCandidates>("choice_candidates", 0, 100),
+    flowTunable<&FlowSettings::warmupSlack>("warmup_slack", 0, 1'000'000),
+    flowTunable<&FlowSettings::warmupWindow>("warmup_window_ms", 1000, 10'000),
     flowTunable<&FlowSettings::maxFlows>("max_flows", 1, 1U << 24U),
 };
 
@@ -241,11 +244,19 @@
 void readFlowTunables(JsonFields &fields, FlowSettings &flows)
 {
     readPart(flowTunables, fields, flows);
+    if (fields.has("warmup_excess")) {
+        constexpr double highest = 1000;
+        flows.warmupExcess = 1;
+        fields.decimal("warmup_excess", 0, highest, *flows.warmupExcess);
+    }
 }
 
 void writeFlowTunables(const FlowSettings &flows, nlohmann::json &object)
 {
     writePart(flowTunables, flows, object);
+    if (flows.warmupExcess.has_value()) {
+        object["warmup_excess"] = *flows.warmupExcess;
+    }
 }
 
 void readOverloadTunables(JsonFields &fields, OverloadSettings &overload)
--- a/src/flows/flowforwarder.h
+++ b/src/flows/flowforwarder.h
@@ -16,6 +16,7 @@
 #include "flows/placement.h"
 #include "flows/routetable.h"
 #include "flows/targetdirectory.h"
+#include "flows/warmuprule.h"
 
 namespace hornbeam {
 
@@ -86,6 +87,13 @@
     {
         static_cast<void>(change);
     }
+    /** A target has become cold or warm. `limit`: the opening packets that it may receive in a second from all instances; nothing without a limit. */
+    virtual void onTargetWarmup(const Target &target, bool isCold, std::optional<uint32_t> limit)
+    {
+        static_cast<void>(target);
+        static_cast<void>(isCold);
+        static_cast<void>(limit);
+    }
 };
 
 //--- Forwarder
@@ -119,8 +127,9 @@
     void onReportedLoad(const ReportedLoad &load);
     /** Sets where reports of other zones' load come from; may be null. Precondition: `loads` outlives the forwarder's use. */
     void setZoneLoads(ZoneLoads *loads);
-    /** Sets the number of live instances in all zones, including this one. */
-    void setInstanceCount(size_t count);
+    /** Sets what divides the limits of cold targets among instances; until then, such targets get no new flows. Precondition: `shares` outlives the forwarder.
+     */
+    void setBudgetShares(const BudgetShares &shares);
     /** Detects unanswered packets, starts due checks and expires old flows. Call about every 20 ms. */
     void tick(FlowActions &out);
 
@@ -135,6 +144,8 @@
     PlacementPreview previewPlacement(const Route &route, const FlowKey &flow) const;
     /** The shares of the zones. */
     const ZoneRouting &zoneRouting() const;
+    /** Cold targets as of the last tick. */
+    const ColdTargets &coldTargets() const;
     const FlowCounters &flowCounters() const;
     FlowCounters &flowCounters();
     /** Histogram of the time from a request to the first acknowledgement of its answer. */
@@ -165,6 +176,8 @@
     void beginCheck(const TargetPtr &target, FlowActions &out);
     void beginEvacuationWait();
     void handleTargetChanges(const std::vector<TargetChange> &changes, FlowActions &out);
+    void updateColdTargets(TimePoint now);
+    void countColdOpening(const Target &target, TimePoint now);
     bool isConfigurationFresh() const;
     bool mayBeFull(const Target &target) const;
     CheckContext checkContextOf(const Target &target, CheckOutcome outcome) const;
@@ -180,6 +193,9 @@
     PassiveHealth health;
     EvacuationRule evacuations;
     FlowPlacement placement;
+    WarmupRule warmup;
+    ColdTargets cold;
+    TimePoint nextColdUpdate;
     AnswerTimes answers;
     std::vector<TargetPtr> rechecks; // silent targets, and draining targets that refused a connection
     size_t instanceCount = 1;
--- a/src/peer/membermessages.h
+++ b/src/peer/membermessages.h
@@ -2,7 +2,7 @@
 
 // Messages about members and tables between the system's processes; see messages.h.
 //
-// Sections: members | table
+// Sections: members | agreement on members | table
 
 #include "core/types.h"
 
