--- a/soak/findings.h
+++ b/soak/findings.h
@@ -16,10 +16,10 @@
 constexpr seconds changeBound(3); // from the store's acknowledgement of a configuration to its being in force
 constexpr seconds graceBound(6);  // from SIGTERM to the end of a process
 constexpr seconds warmupTime(5);  // of a target that starts during traffic
-constexpr uint32_t warmupRate(4); // opening packets a second to a cold target, from all instances
+constexpr uint32_t warmupRate(1); // opening packets a second to a cold target, from all instances
 constexpr double warmupExcess(1.5);
-constexpr uint32_t warmupSlack(2);
-constexpr size_t warmupLimit(8); // in any second: rate x excess + slack
+constexpr uint32_t warmupSlack(1);
+constexpr size_t warmupLimit(2); // in any second: rate x excess + slack, rounded down
 constexpr size_t memoryBoundKb = size_t{ 256 } * 1024;
 
 /** A span of disturbance of one part. Spans may overlap. */
