--- a/src/balancing/waitingadmission.cpp
+++ b/src/balancing/waitingadmission.cpp
@@ -24,19 +24,12 @@
 {
     return std::chrono::duration<double>(duration).count();
 }
-}
-
-//--- Sums
 
-double WaitingAdmission::DecayingSum::value(TimePoint now, Duration constant) const
+// Of a sum that decays with a time constant.
+double remainingShare(Duration elapsed, Duration constant)
 {
-    return this->sum == 0 ? 0 : this->sum * std::exp(-toSeconds(now - this->at) / toSeconds(constant));
+    return std::exp(-toSeconds(elapsed) / toSeconds(constant));
 }
-
-void WaitingAdmission::DecayingSum::add(double amount, TimePoint now, Duration constant)
-{
-    this->sum = this->value(now, constant) + amount;
-    this->at = now;
 }
 
 //--- Observations
@@ -45,39 +38,61 @@
 {
 }
 
-void WaitingAdmission::addRoundTrip(const Endpoint &route, const std::string &service, Duration elapsed, TimePoint now)
+void WaitingAdmission::addRoundTrip(const Endpoint &route, const std::string &service, Duration elapsed)
 {
     this->routes.try_emplace(route, this->settings).first->second.addRoundTrip(elapsed);
-    this->services[service].overhead.add(toSeconds(elapsed), now, this->settings.window);
+    this->services[service].overhead += toSeconds(elapsed);
 }
 
-void WaitingAdmission::addRequest(const RouteDemand &route, const std::string &service, TimePoint now)
+void WaitingAdmission::addRequest(const RouteDemand &route, const std::string &service)
 {
-    this->services[service].requestsByPriority[route.priority].add(1, now, demandWindow);
+    this->services[service].requestsByPriority[route.priority] += 1;
 }
 
 void WaitingAdmission::addAnswer(const Endpoint &route, const std::string &service, const AnswerSample &answer, TimePoint now)
 {
     ServiceTimes &times = this->routes.try_emplace(route, this->settings).first->second;
     ServiceLoad &load = this->services[service];
-    load.overhead.add(std::min(toSeconds(answer.elapsed), times.overheadSeconds(answer)), now, this->settings.window);
-    const bool isQueued = this->outstandingOf(load, now) > maxUnqueuedShare * load.occupancy.slots;
+    load.overhead += std::min(toSeconds(answer.elapsed), times.overheadSeconds(answer));
+    const bool isQueued = this->outstandingOf(load) > maxUnqueuedShare * load.occupancy.slots;
     if (!times.addAnswer(answer, isQueued)) {
         return;
     }
     load.firstAnswerAt = load.firstAnswerAt == TimePoint{} ? now : load.firstAnswerAt;
-    load.answers.add(1, now, answerWindow);
-    load.serviceTime.add(times.serviceSeconds(), now, answerWindow);
+    load.answers += 1;
+    load.serviceTime += times.serviceSeconds();
 }
 
 void WaitingAdmission::update(const std::string &service, const ServiceOccupancy &occupancy, TimePoint now)
 {
     ServiceLoad &load = this->services[service];
-    const double age = load.updatedAt == TimePoint{} ? 0 : std::exp(-toSeconds(now - load.updatedAt) / toSeconds(this->settings.window));
+    const double age = load.updatedAt == TimePoint{} ? 0 : remainingShare(now - load.updatedAt, this->settings.window);
     load.outstanding = load.outstanding * age + occupancy.outstanding * (1 - age);
     load.occupancy = occupancy;
+    this->decay(load, now);
     load.updatedAt = now;
     this->confirm(load, now);
+    load.serviceSeconds = this->serviceSecondsOf(load, now);
+    load.waitingSeconds = this->waitingSecondsOf(load, now);
+}
+
+void WaitingAdmission::decay(ServiceLoad &load, TimePoint now) const
+{
+    if (load.updatedAt == TimePoint{}) {
+        return;
+    }
+    const Duration elapsed = now - load.updatedAt;
+    const double answerShare = remainingShare(elapsed, answerWindow);
+    const double refusedShare = remainingShare(elapsed, refusedWindow);
+    const double demandShare = remainingShare(elapsed, demandWindow);
+    load.overhead *= remainingShare(elapsed, this->settings.window);
+    load.answers *= answerShare;
+    load.serviceTime *= answerShare;
+    load.refused *= refusedShare;
+    load.openings *= refusedShare;
+    for (auto &[priority, requests] : load.requestsByPriority) {
+        requests *= demandShare;
+    }
 }
 
 // Requests also wait in the own link. If members see no load, the service is not the reason.
@@ -86,7 +101,7 @@
     if (!load.occupancy.isReportExpected || load.occupancy.reports > 0 || now - load.exceededAt > confirmationMemory) {
         load.exceededSince = TimePoint{};
     }
-    if (load.occupancy.isReportExpected && load.occupancy.reports == 0 && this->ownOutstandingOf(load, now) > load.occupancy.slots) {
+    if (load.occupancy.isReportExpected && load.occupancy.reports == 0 && this->ownOutstandingOf(load) > load.occupancy.slots) {
         load.exceededSince = load.exceededSince == TimePoint{} ? now : load.exceededSince;
         load.exceededAt = now;
     }
@@ -100,16 +115,16 @@
 //--- Estimates
 
 // Requests also count as outstanding while they and their answers are on their way, and while the caller delays its acknowledgement.
-double WaitingAdmission::ownOutstandingOf(const ServiceLoad &load, TimePoint now) const
+double WaitingAdmission::ownOutstandingOf(const ServiceLoad &load) const
 {
-    return std::max(0.0, load.outstanding - load.overhead.value(now, this->settings.window) / toSeconds(this->settings.window));
+    return std::max(0.0, load.outstanding - load.overhead / toSeconds(this->settings.window));
 }
 
 // Each instance sees only a small sample of a zone's requests, so their mean is a better estimate, but an older one: the larger of both detects both a queue
 // that other instances see and one that is growing. An own count of more than twice the mean is not the service's.
-double WaitingAdmission::outstandingOf(const ServiceLoad &load, TimePoint now) const
+double WaitingAdmission::outstandingOf(const ServiceLoad &load) const
 {
-    const double own = this->ownOutstandingOf(load, now);
+    const double own = this->ownOutstandingOf(load);
     const double mean = (own + load.occupancy.reportedOutstanding) / static_cast<double>(1 + load.occupancy.reports);
     return std::max(mean, std::min(own, maxOwnShare * mean));
 }
@@ -117,14 +132,14 @@
 // Since all slots are in use when there is a queue, slots divided by throughput bound the service time. This corrects measurements that included a queue.
 double WaitingAdmission::serviceSecondsOf(const ServiceLoad &load, TimePoint now) const
 {
-    const double answers = load.answers.value(now, answerWindow);
+    const double answers = load.answers;
     if (answers <= 0) {
         return 0;
     }
-    const double measured = load.serviceTime.value(now, answerWindow) / answers;
+    const double measured = load.serviceTime / answers;
     const double measuredSeconds = toSeconds(answerWindow) * (1 - std::exp(-toSeconds(now - load.firstAnswerAt) / toSeconds(answerWindow)));
     const double bound = load.occupancy.slots * measuredSeconds / answers;
-    const bool hasQueue = this->outstandingOf(load, now) > load.occupancy.slots;
+    const bool hasQueue = this->outstandingOf(load) > load.occupancy.slots;
     return hasQueue && bound > 0 ? std::min(measured, bound) : measured;
 }
 
@@ -134,34 +149,34 @@
     if (load.occupancy.slots <= 0 || isUnconfirmed) {
         return 0;
     }
-    return std::max(0.0, this->outstandingOf(load, now) / load.occupancy.slots - 1) * this->serviceSecondsOf(load, now);
+    return std::max(0.0, this->outstandingOf(load) / load.occupancy.slots - 1) * this->serviceSecondsOf(load, now);
 }
 
-double WaitingAdmission::refusedShareOf(const ServiceLoad &load, TimePoint now) const
+double WaitingAdmission::refusedShareOf(const ServiceLoad &load) const
 {
-    return load.refused.value(now, refusedWindow) / std::max(minOpenings, load.openings.value(now, refusedWindow));
+    return load.refused / std::max(minOpenings, load.openings);
 }
 
-bool WaitingAdmission::isPreferred(const ServiceLoad &load, uint32_t priority, TimePoint now) const
+bool WaitingAdmission::isPreferred(const ServiceLoad &load, uint32_t priority) const
 {
     return this->settings.preferredDemandPercent > 0
         && std::any_of(load.requestsByPriority.upper_bound(priority), load.requestsByPriority.end(),
-                       [&](const auto &entry) { return entry.second.value(now, demandWindow) > minRequestRate * toSeconds(demandWindow); });
+                       [&](const auto &entry) { return entry.second > minRequestRate * toSeconds(demandWindow); });
 }
 
-double WaitingAdmission::demandOf(const ServiceLoad &load, uint32_t priority, TimePoint now) const
+double WaitingAdmission::demandOf(const ServiceLoad &load, uint32_t priority) const
 {
     double requests = 0;
     for (const auto &[other, sum] : load.requestsByPriority) {
-        requests += other <= priority ? sum.value(now, demandWindow) : 0;
+        requests += other <= priority ? sum : 0;
     }
     const double rate = requests / toSeconds(demandWindow);
-    return load.occupancy.slots <= 0 ? 0 : rate * this->serviceSecondsOf(load, now) / load.occupancy.slots;
+    return load.occupancy.slots <= 0 ? 0 : rate * load.serviceSeconds / load.occupancy.slots;
 }
 
 // Short peaks fit into the queues of the targets, and then nothing has to be refused. The more is refused, the shorter the queues should be, since requests
 // can't all be served anyway, and those of higher priority should find little waiting.
-WaitingVerdict WaitingAdmission::check(const RouteDemand &route, const std::string &service, TimePoint now) const
+WaitingVerdict WaitingAdmission::check(const RouteDemand &route, const std::string &service) const
 {
     WaitingVerdict verdict;
     const auto found = this->services.find(service);
@@ -171,57 +186,53 @@
         return verdict;
     }
     const ServiceLoad &load = found->second;
-    const double serviceSeconds = this->serviceSecondsOf(load, now);
+    const double serviceSeconds = load.serviceSeconds;
     const double latencyTarget = toSeconds(route.latencyTarget);
     const double left = std::max(latencyTarget - times->second.roundTripSeconds() - serviceSeconds, minLatencyShare * latencyTarget);
     const double fullQueue = this->settings.targetQueue / std::max(1.0, load.occupancy.slotsPerTarget) * serviceSeconds;
     const double upper = std::min(left * maxWaitingShare, fullQueue * this->settings.limitPercent / percent);
     const double lower = upper * std::min(1.0, this->settings.overloadLimitPercent / percent);
-    const bool isPreferred = this->isPreferred(load, route.priority, now);
-    const double persistence = isPreferred ? 0 : std::min(1.0, this->refusedShareOf(load, now) / refusedForLowerLimit);
+    const bool isPreferred = this->isPreferred(load, route.priority);
+    const double persistence = isPreferred ? 0 : std::min(1.0, this->refusedShareOf(load) / refusedForLowerLimit);
 
-    verdict.waitingSeconds = this->waitingSecondsOf(load, now);
+    verdict.waitingSeconds = load.waitingSeconds;
     verdict.limitSeconds = upper + (lower - upper) * persistence;
-    verdict.outstanding = this->outstandingOf(load, now);
+    verdict.outstanding = this->outstandingOf(load);
     verdict.slots = load.occupancy.slots;
-    verdict.demand = this->demandOf(load, route.priority, now);
+    verdict.demand = this->demandOf(load, route.priority);
     const bool mayBeRefused = !isPreferred || verdict.demand * percent >= this->settings.preferredDemandPercent;
     verdict.isAdmitted = verdict.waitingSeconds <= verdict.limitSeconds || !mayBeRefused;
     return verdict;
 }
 
-void WaitingAdmission::record(const RouteDemand &route, const std::string &service, bool isRefused, TimePoint now)
+void WaitingAdmission::record(const RouteDemand &route, const std::string &service, bool isRefused)
 {
     ServiceLoad &load = this->services[service];
     if (isRefused) {
-        this->addRequest(route, service, now);
+        this->addRequest(route, service);
     }
-    if (!this->isPreferred(load, route.priority, now)) {
-        load.openings.add(1, now, refusedWindow);
-        load.refused.add(isRefused ? 1 : 0, now, refusedWindow);
+    if (!this->isPreferred(load, route.priority)) {
+        load.openings += 1;
+        load.refused += isRefused ? 1 : 0;
     }
 }
 
-bool WaitingAdmission::hasRoom(const RouteDemand &route, const std::string &service, TimePoint now) const
+bool WaitingAdmission::hasRoom(const RouteDemand &route, const std::string &service) const
 {
     const auto found = this->services.find(service);
     if (this->settings.overflowPercent == 0 || found == this->services.end() || found->second.occupancy.slots <= 0) {
         return false;
     }
-    const WaitingVerdict verdict = this->check(route, service, now);
+    const WaitingVerdict verdict = this->check(route, service);
     return verdict.isAdmitted && verdict.waitingSeconds * percent <= verdict.limitSeconds * this->settings.overflowPercent;
 }
 
-std::map<std::string, WaitingAdmission::ServiceState> WaitingAdmission::states(TimePoint now) const
+std::map<std::string, WaitingAdmission::ServiceState> WaitingAdmission::states() const
 {
     std::map<std::string, ServiceState> found;
     for (const auto &[service, load] : this->services) {
-        found[service] = { this->waitingSecondsOf(load, now),
-                           this->serviceSecondsOf(load, now),
-                           this->outstandingOf(load, now),
-                           this->ownOutstandingOf(load, now),
-                           load.occupancy.slots,
-                           this->refusedShareOf(load, now) };
+        found[service] = { load.waitingSeconds,          load.serviceSeconds,  this->outstandingOf(load),
+                           this->ownOutstandingOf(load), load.occupancy.slots, this->refusedShareOf(load) };
     }
     return found;
 }
--- a/src/balancing/waitingadmission.h
+++ b/src/balancing/waitingadmission.h
@@ -51,19 +51,19 @@
     explicit WaitingAdmission(const WaitingSettings &settings);
 
     /** A flow of the route was opened at a target of the service; time from its opening packet to the caller's next packet. */
-    void addRoundTrip(const Endpoint &route, const std::string &service, Duration elapsed, TimePoint now);
+    void addRoundTrip(const Endpoint &route, const std::string &service, Duration elapsed);
     /** A request of the route was sent to a target of the service. */
-    void addRequest(const RouteDemand &route, const std::string &service, TimePoint now);
+    void addRequest(const RouteDemand &route, const std::string &service);
     /** A target of the service answered a request of the route. */
     void addAnswer(const Endpoint &route, const std::string &service, const AnswerSample &answer, TimePoint now);
-    /** Sets the occupancy of a service; call it about every 20 ms. */
+    /** Sets the occupancy of a service and updates its estimates; call it about every 20 ms. */
     void update(const std::string &service, const ServiceOccupancy &occupancy, TimePoint now);
-    /** Whether a new flow of the route may be opened at the service; changes no state. */
-    WaitingVerdict check(const RouteDemand &route, const std::string &service, TimePoint now) const;
+    /** Whether a new flow of the route may be opened at the service, by the estimates of the last update; changes no state. */
+    WaitingVerdict check(const RouteDemand &route, const std::string &service) const;
     /** Records what became of a new flow of the route for which check() was called. */
-    void record(const RouteDemand &route, const std::string &service, bool isRefused, TimePoint now);
+    void record(const RouteDemand &route, const std::string &service, bool isRefused);
     /** Whether the service has room for flows of the route that another service would refuse. */
-    bool hasRoom(const RouteDemand &route, const std::string &service, TimePoint now) const;
+    bool hasRoom(const RouteDemand &route, const std::string &service) const;
     /** Discards what is known of the routes for which `isRoute` returns false. */
     void retainRoutes(const std::function<bool(const Endpoint &)> &isRoute);
 
@@ -77,42 +77,38 @@
         double slots = 0;
         double refusedShare = 0;
     };
-    std::map<std::string, ServiceState> states(TimePoint now) const;
+    std::map<std::string, ServiceState> states() const;
 
 private:
-    /** A sum that decays with a time constant, so that sum / constant is a rate. */
-    struct DecayingSum
-    {
-        double sum = 0;
-        TimePoint at;
-
-        double value(TimePoint now, Duration constant) const;
-        void add(double amount, TimePoint now, Duration constant);
-    };
     struct ServiceLoad
     {
         ServiceOccupancy occupancy;
         double outstanding = 0; // moving average
+        // as of the last update
+        double waitingSeconds = 0;
+        double serviceSeconds = 0;
+        // sums that decay at each update, so that sum / window is a rate
         TimePoint updatedAt;
         TimePoint exceededSince; // when the own outstanding requests began to exceed the slots without reports of other members; TimePoint{} if they don't
         TimePoint exceededAt;    // when this was last so
-        DecayingSum overhead;    // seconds that answered requests have spent outside of the targets
-        DecayingSum answers;     // without errors
+        double overhead = 0;     // seconds that answered requests have spent outside of the targets
+        double answers = 0;      // without errors
         TimePoint firstAnswerAt;
-        DecayingSum serviceTime;                            // seconds; sum of the mean service times of the answers
-        DecayingSum refused;                                // of the flows below
-        DecayingSum openings;                               // new flows of the lowest priority
-        std::map<uint32_t, DecayingSum> requestsByPriority; // and refused flows
+        double serviceTime = 0;                        // seconds; sum of the mean service times of the answers
+        double refused = 0;                            // of the flows below
+        double openings = 0;                           // new flows of the lowest priority
+        std::map<uint32_t, double> requestsByPriority; // and refused flows
     };
 
+    void decay(ServiceLoad &load, TimePoint now) const;
     void confirm(ServiceLoad &load, TimePoint now) const;
-    double ownOutstandingOf(const ServiceLoad &load, TimePoint now) const;
-    double outstandingOf(const ServiceLoad &load, TimePoint now) const;
+    double ownOutstandingOf(const ServiceLoad &load) const;
+    double outstandingOf(const ServiceLoad &load) const;
     double serviceSecondsOf(const ServiceLoad &load, TimePoint now) const;
     double waitingSecondsOf(const ServiceLoad &load, TimePoint now) const;
-    double refusedShareOf(const ServiceLoad &load, TimePoint now) const;
-    bool isPreferred(const ServiceLoad &load, uint32_t priority, TimePoint now) const;
-    double demandOf(const ServiceLoad &load, uint32_t priority, TimePoint now) const;
+    double refusedShareOf(const ServiceLoad &load) const;
+    bool isPreferred(const ServiceLoad &load, uint32_t priority) const;
+    double demandOf(const ServiceLoad &load, uint32_t priority) const;
 
     const WaitingSettings &settings;
     std::unordered_map<Endpoint, ServiceTimes> routes;
--- a/src/flows/flowforwarder.cpp
+++ b/src/flows/flowforwarder.cpp
@@ -342,7 +342,7 @@
 
 OwnLoad FlowForwarder::ownLoad() const
 {
-    return this->placement.ownLoad(this->clock.now());
+    return this->placement.ownLoad();
 }
 
 void FlowForwarder::onReportedLoad(const ReportedLoad &load)
@@ -445,7 +445,7 @@
 
 std::map<std::string, WaitingAdmission::ServiceState> FlowForwarder::serviceStates() const
 {
-    return this->placement.serviceStates(this->clock.now());
+    return this->placement.serviceStates();
 }
 
 bool FlowForwarder::isConfigurationFresh() const
--- a/src/flows/placement.cpp
+++ b/src/flows/placement.cpp
@@ -38,7 +38,7 @@
     if (placement.target != nullptr && request.previousTarget == nullptr && !request.isRepeated) { // a repeated opening packet has waited for long enough
         this->admit(placement, route, now);
         const bool isRefused = placement.outcome == PlacementOutcome::Overloaded && !this->placeOnOtherShare(placement, route, request, now);
-        this->waiting.record(demandOf(route), placement.service, isRefused, now);
+        this->waiting.record(demandOf(route), placement.service, isRefused);
     }
     if (placement.outcome == PlacementOutcome::Placed) {
         this->recordOpening(*placement.target, now);
@@ -67,7 +67,7 @@
 void FlowPlacement::admit(Placement &placement, const Route &route, TimePoint now)
 {
     placement.verdict = this->admission.admit(route, placement.service, *placement.target, now);
-    placement.verdict.waiting = this->waiting.check(demandOf(route), placement.service, now);
+    placement.verdict.waiting = this->waiting.check(demandOf(route), placement.service);
     const bool isAdmitted = placement.verdict.isAdmitted && placement.verdict.waiting.isAdmitted;
     placement.outcome = isAdmitted ? PlacementOutcome::Placed : PlacementOutcome::Overloaded;
 }
@@ -75,7 +75,7 @@
 bool FlowPlacement::placeOnOtherShare(Placement &placement, const Route &route, const PlacementRequest &request, TimePoint now)
 {
     for (const RouteShare &share : route.shares) {
-        if (share.weight == 0 || share.service == placement.selectedService || !this->waiting.hasRoom(demandOf(route), share.service, now)) {
+        if (share.weight == 0 || share.service == placement.selectedService || !this->waiting.hasRoom(demandOf(route), share.service)) {
             continue;
         }
         Placement other;
@@ -121,7 +121,7 @@
 {
     const std::string &service = target.record.service;
     if (observation.roundTrip > Duration{ 0 }) {
-        this->waiting.addRoundTrip(route.address, service, observation.roundTrip, now);
+        this->waiting.addRoundTrip(route.address, service, observation.roundTrip);
     }
     if (observation.answerTime > Duration{ 0 }) {
         this->admission.addAnswer(route, target, { observation.answerTime, observation.answerBytes }, now);
@@ -129,7 +129,7 @@
         this->waiting.addAnswer(route.address, service, { observation.answerTime, observation.answerBytes, isShort, observation.acknowledgement }, now);
     }
     if (observation.isRequest) {
-        this->waiting.addRequest(demandOf(route), service, now);
+        this->waiting.addRequest(demandOf(route), service);
     }
 }
 
@@ -176,10 +176,10 @@
     return occupancy;
 }
 
-OwnLoad FlowPlacement::ownLoad(TimePoint now) const
+OwnLoad FlowPlacement::ownLoad() const
 {
     OwnLoad load;
-    for (const auto &[service, state] : this->waiting.states(now)) {
+    for (const auto &[service, state] : this->waiting.states()) {
         if (!this->services.contains(service)) {
             continue;
         }
@@ -211,9 +211,9 @@
     }
 }
 
-std::map<std::string, WaitingAdmission::ServiceState> FlowPlacement::serviceStates(TimePoint now) const
+std::map<std::string, WaitingAdmission::ServiceState> FlowPlacement::serviceStates() const
 {
-    return this->waiting.states(now);
+    return this->waiting.states();
 }
 
 } // namespace hornbeam
--- a/src/flows/placement.h
+++ b/src/flows/placement.h
@@ -75,11 +75,11 @@
     /** Updates the load of all services. Call it about every 20 ms. */
     void tick(TimePoint now);
     /** The load that this instance causes, to be reported to other members of the zone. */
-    OwnLoad ownLoad(TimePoint now) const;
+    OwnLoad ownLoad() const;
     /** Applies the load that other members of the zone have reported. */
     void onReportedLoad(const ReportedLoad &load);
     /** Load and expected waiting time of the services. */
-    std::map<std::string, WaitingAdmission::ServiceState> serviceStates(TimePoint now) const;
+    std::map<std::string, WaitingAdmission::ServiceState> serviceStates() const;
 
 private:
     void choose(Placement &placement, const PlacementRequest &request, TimePoint now);
