--- a/src/balancing/memberbudgetshares.cpp
+++ b/src/balancing/memberbudgetshares.cpp
@@ -78,8 +78,7 @@
     const auto [cached, isNew] = this->ranks.try_emplace(key, 0);
     if (isNew) {
         const uint64_t own = mixHash(key, this->self);
-        cached->second =
-            static_cast<size_t>(std::count_if(this->live.begin(), this->live.end(), [&](MemberId member) { return mixHash(key, member) > own; }));
+        cached->second = static_cast<size_t>(std::count_if(this->live.begin(), this->live.end(), [&](MemberId member) { return mixHash(key, member) > own; }));
     }
     return cached->second;
 }
--- a/src/balancing/memberbudgetshares.h
+++ b/src/balancing/memberbudgetshares.h
@@ -33,8 +33,8 @@
 
 /**
  * The members with the highest rendezvous hashes of a key have equal shares of its limit. An instance uses its shares only
- * - while its view of the zone has not changed for the settling time. Members that learn of a change late use the view before it until then, so a share is part of the limit
- *   divided by `concurrentViews`.
+ * - while its view of the zone has not changed for the settling time. Members that learn of a change late use the view before it until then, so a share is
+ *   part of the limit divided by `concurrentViews`.
  * - while it knows two thirds of all members that it has ever known to be alive, so that only one side of a partition uses shares.
  * - if it has met two thirds of its seeds, so that an instance that was never connected uses none.
  * Not thread safe: owned by one event loop.
