--- a/src/flows/placement.cpp
+++ b/src/flows/placement.cpp
@@ -124,11 +124,10 @@
     return preview;
 }
 
-// The zone's shares decide which flows leave the zone. For the others, or if that zone has no candidate, targets of all zones are compared: single targets of
-// the own zone may be much busier than those of other zones before the shares follow.
+// The zone's shares decide first. If they don't, or the zone has no candidate, targets of all zones are compared.
 TargetPtr FlowPlacement::chooseTarget(const std::vector<TargetPtr> &candidates, const TargetPtr &excluded, const CandidateFilter &filter, Placement &placement)
 {
-    if (placement.zoneChoice.zone.has_value() && *placement.zoneChoice.zone != this->ownZone) {
+    if (placement.zoneChoice.zone.has_value()) {
         TargetPtr target = this->chooser.chooseInZone(candidates, excluded, filter, *placement.zoneChoice.zone, this->mayUseReports(placement.service));
         if (target != nullptr) {
             placement.isByZoneShare = true;
