Tests: the folders of the build are compiled into one file

Cause: every test object had the paths of its checkout in its definitions, so ccache shared none of them between checkouts, and precompiled headers were hashed with absolute paths.

--- a/tests/childprocess.h
+++ b/tests/childprocess.h
@@ -2,6 +2,8 @@
 
 // Runs one of the project's binaries for an end-to-end test and reads its output. Only tests start processes.
 
+#include "paths.h"
+
 #include <csignal>
 #include <fcntl.h>
 #include <poll.h>
@@ -23,7 +25,7 @@
         if (::pipe2(out, O_CLOEXEC) != 0) {
             return;
         }
-        arguments.insert(arguments.begin(), std::string(HORNBEAM_BINARY_DIR) + "/" + binary);
+        arguments.insert(arguments.begin(), binaryDirectory() + "/" + binary);
         std::vector<char *> pointers;
         for (std::string &argument : arguments) {
             pointers.push_back(argument.data());
--- a/tests/packaging_test.cpp
+++ b/tests/packaging_test.cpp
@@ -1,6 +1,7 @@
 #include "apps/settings.h"
 #include "apps/tablecells.h"
 #include "apps/tablediff.h"
+#include "paths.h"
 
 #include <catch2/catch.hpp>
 #include <fstream>
@@ -14,7 +15,7 @@
 
 std::string readExample(const std::string &name)
 {
-    std::ifstream file(HORNBEAM_SOURCE_DIR "/packaging/examples/" + name);
+    std::ifstream file(sourceDirectory() + "/packaging/examples/" + name);
     std::ostringstream content;
     content << file.rdbuf();
     return content.str();
@@ -43,7 +44,7 @@
     }
     SECTION("the template of the users' platform, with and without bounds for evacuations and for warm-up")
     {
-        std::ifstream file(HORNBEAM_SOURCE_DIR "/deploy/settings.template.json");
+        std::ifstream file(sourceDirectory() + "/deploy/settings.template.json");
         std::ostringstream content;
         content << file.rdbuf();
         const auto render = [&content](bool hasEvacuation, bool hasWarmup) {
--- /dev/null
+++ b/tests/paths.cpp
@@ -0,0 +1,15 @@
+#include "paths.h"
+
+namespace hornbeam {
+
+std::string sourceDirectory()
+{
+    return HORNBEAM_SOURCE_DIR;
+}
+
+std::string binaryDirectory()
+{
+    return HORNBEAM_BINARY_DIR;
+}
+
+} // namespace hornbeam
--- a/tests/readme_test.cpp
+++ b/tests/readme_test.cpp
@@ -1,5 +1,6 @@
 // The commands that README.md shows, run as they stand there but for addresses.
 
+#include "paths.h"
 #include "systemfixture.h"
 
 #include <catch2/catch.hpp>
@@ -13,7 +14,7 @@
 
 std::vector<std::string> linesOfReadme()
 {
-    std::ifstream file(HORNBEAM_SOURCE_DIR "/README.md");
+    std::ifstream file(sourceDirectory() + "/README.md");
     std::vector<std::string> lines;
     for (std::string line; std::getline(file, line);) {
         lines.push_back(line);
--- a/tests/scenarios_test.cpp
+++ b/tests/scenarios_test.cpp
@@ -1,3 +1,4 @@
+#include "paths.h"
 #include "scenario.h"
 
 #include <catch2/catch.hpp>
@@ -36,7 +37,7 @@
 
 const size_t registered = [] {
     std::vector<std::string> paths;
-    for (const auto &entry : std::filesystem::directory_iterator(HORNBEAM_SOURCE_DIR "/tests/scenarios")) {
+    for (const auto &entry : std::filesystem::directory_iterator(hornbeam::sourceDirectory() + "/tests/scenarios")) {
         if (entry.path().extension() == ".scenario") {
             paths.push_back(entry.path().string());
         }
