Zone routing: shares follow the requests in the targets, and follow them sooner

Requests counted as outstanding while they were on their way and while their acknowledgements were delayed, so zones at 0.4 of their slots seemed full and others got nothing; a zone that had sent 5% of its flows away was no destination; the own waiting time followed the arrival of slow responses. Change: outstanding requests and times are those in the targets; a queue is also measured by the responses per second; the larger of the own values and the reports counts; a zone's share may take a quarter of its free slots per update; flows that leave are not refused for the own zone's queue.

--- a/src/balancing/waitingadmission.cpp
+++ b/src/balancing/waitingadmission.cpp
@@ -49,18 +49,24 @@
     this->services[service].requestsByPriority[route.priority] += 1;
 }
 
-void WaitingAdmission::addAnswer(const Endpoint &route, const std::string &service, const AnswerSample &answer, TimePoint now)
+AnswerParts WaitingAdmission::addAnswer(const Endpoint &route, const std::string &service, const AnswerSample &answer, TimePoint now)
 {
     ServiceTimes &times = this->routes.try_emplace(route, this->settings).first->second;
     ServiceLoad &load = this->services[service];
-    load.overhead += std::min(toSeconds(answer.elapsed), times.overheadSeconds(answer));
+    const double overhead = std::min(toSeconds(answer.elapsed), times.overheadSeconds(answer));
+    load.overhead += overhead;
+    AnswerParts result;
+    result.overhead = std::chrono::duration_cast<Duration>(std::chrono::duration<double>(overhead));
+    result.inTarget = answer.elapsed - result.overhead;
     const bool isQueued = this->outstandingOf(load) > maxUnqueuedShare * load.occupancy.slots;
-    if (!times.addAnswer(answer, isQueued)) {
-        return;
+    result.isRejection = !times.addAnswer(answer, isQueued);
+    if (result.isRejection) {
+        return result;
     }
     load.firstAnswerAt = load.firstAnswerAt == TimePoint{} ? now : load.firstAnswerAt;
     load.answers += 1;
     load.serviceTime += times.serviceSeconds();
+    return result;
 }
 
 void WaitingAdmission::update(const std::string &service, const ServiceOccupancy &occupancy, TimePoint now)
--- a/src/balancing/waitingadmission.h
+++ b/src/balancing/waitingadmission.h
@@ -32,6 +32,14 @@
     bool isReportExpected = false;  // other members would report their load if the service had no capacity
 };
 
+/** Where the time between a request and its answer was spent. */
+struct AnswerParts
+{
+    Duration inTarget{ 0 }; // processing and waiting
+    Duration overhead{ 0 }; // network and delayed acknowledgement
+    bool isRejection = false;
+};
+
 /** Result of a check whether a new flow may be opened, with the values that led to it. */
 struct WaitingVerdict
 {
@@ -55,7 +63,7 @@
     /** A request of the route was sent to a target of the service. */
     void addRequest(const RouteDemand &route, const std::string &service);
     /** A target of the service answered a request of the route. */
-    void addAnswer(const Endpoint &route, const std::string &service, const AnswerSample &answer, TimePoint now);
+    AnswerParts addAnswer(const Endpoint &route, const std::string &service, const AnswerSample &answer, TimePoint now);
     /** Sets the occupancy of a service and updates its estimates; call it about every 20 ms. */
     void update(const std::string &service, const ServiceOccupancy &occupancy, TimePoint now);
     /** Whether a new flow of the route may be opened at the service, by the estimates of the last update; changes no state. */
--- a/src/balancing/zoneshares.cpp
+++ b/src/balancing/zoneshares.cpp
@@ -8,10 +8,12 @@
 constexpr double maxLeavingShare = 0.95;        // while the own zone has usable targets; the rest of the flows shows when they have recovered
 constexpr double useBand = 0.25;                // outstanding requests per slot over which steps grow from 0 to the maximum
 constexpr double drainSeconds = 1;              // in which the queues of the own zone should be worked off
-constexpr double riseFactor = 0.3;              // part of the difference to the needed share per update; 76% of it within 1 s
+constexpr double riseFactor = 0.6;              // part of the difference to the needed share per update; 84% of it within 0.5 s
+constexpr double freePerUpdate = 0.25;          // part of a zone's free slots that may be taken per update: its reports are three updates old
 constexpr double averageWeight = 0.2;           // per update: flows return by the average of about the last 1.2 s, because single values deviate by 30%
 constexpr double returnFactor = 0.25;           // part of the flows that may return per update
-constexpr double maxLeavingOfDestination = .05; // a zone that sends more of its own flows away is sent none, so that zones don't exchange flows
+constexpr double maxLeavingOfDestination = .05; // a zone that sends more of its own flows away is sent none, so that zones don't exchange flows,
+constexpr double maxLeavingOfNeeded = 0.5;      // unless this is less than half of what the own zone must send away
 constexpr double minShare = 0.01;               // a falling share below it becomes 0
 constexpr double bytesPerKilobyte = 1000;
 
@@ -20,6 +22,12 @@
     return zone.slots == 0 ? 1e9 : zone.outstanding / zone.slots;
 }
 
+// Of the own zone's callers, in slots.
+double demandOf(const ServiceZones &service)
+{
+    return service.requestsPerSecond * std::chrono::duration<double>(service.serviceTime).count();
+}
+
 Duration scaled(Duration duration, double factor)
 {
     return Duration(static_cast<Duration::rep>(static_cast<double>(duration.count()) * factor));
@@ -55,13 +63,13 @@
     }
     this->adjust(service);
     const bool hasReports = std::any_of(service.others.begin(), service.others.end(), [](const ZoneState &zone) { return zone.isReported; });
-    this->decided = this->leavingShare() > 0 || (hasReports && useOf(service.own) > this->settings.decidedUse);
+    this->decided = hasReports && (this->leavingShare() > 0 || useOf(service.own) > this->settings.decidedUse);
 }
 
 // The flows of a zone that can't be used any more go to the others, as far as these have free slots for them.
 void ZoneShares::replaceLostZones(const ServiceZones &service, double lost)
 {
-    const double demand = service.requestsPerSecond * std::chrono::duration<double>(service.serviceTime).count(); // in slots
+    const double demand = demandOf(service);
     double free = 0;
     for (const ZoneState &zone : service.others) {
         free += this->freeSlots(zone);
@@ -75,11 +83,16 @@
     }
 }
 
+bool ZoneShares::isDestination(const ZoneState &zone) const
+{
+    const double maxLeaving = std::max(maxLeavingOfDestination, maxLeavingOfNeeded * this->averageNeeded);
+    return zone.isReachable && zone.isReported && zone.slots > 0 && zone.leavingShare <= maxLeaving;
+}
+
 // Slots that the zone can use for flows of others; 0 if it can't be sent any.
 double ZoneShares::freeSlots(const ZoneState &zone) const
 {
-    const bool isUsable = zone.isReachable && zone.isReported && zone.leavingShare <= maxLeavingOfDestination;
-    return isUsable ? std::max(0.0, this->settings.maxUse * zone.slots - zone.outstanding) : 0;
+    return this->isDestination(zone) ? std::max(0.0, this->settings.maxUse * zone.slots - zone.outstanding) : 0;
 }
 
 Duration ZoneShares::costOf(const ZoneState &zone, double bytesPerRequest) const
@@ -96,7 +109,7 @@
 // From -1, the share must fall, to 1, it should rise. 0 within the hysteresis.
 double ZoneShares::pressureOf(const ZoneState &zone, const ZoneShare &share) const
 {
-    if (!zone.isReachable || zone.slots == 0 || !zone.isReported || zone.leavingShare > maxLeavingOfDestination) {
+    if (!this->isDestination(zone)) {
         return -1;
     }
     const double gain = static_cast<double>(share.gain.count());
@@ -132,6 +145,7 @@
             share.share *= maxLeavingShare / before;
         }
     }
+    const double demand = demandOf(service);
     const double needed = this->neededShare(service);
     this->averageNeeded += averageWeight * (needed - this->averageNeeded);
     const double current = this->leavingShare();
@@ -148,7 +162,8 @@
         if (pressures[i] > 0) {
             const double part = this->freeSlots(zone) / free;
             const double rise = std::max(riseFactor * (needed - current), this->settings.step);
-            share.share += std::min(maxLeavingShare - current, rise) * pressures[i] * part;
+            const double limit = demand > 0 ? freePerUpdate * this->freeSlots(zone) / demand : maxLeavingShare;
+            share.share += std::min(std::min(maxLeavingShare - current, rise) * pressures[i] * part, limit);
         } else if (pressures[i] < 0) {
             // The own zone takes back what it can serve; if the other one is short or unknown, all of it.
             const bool isClosed = this->freeSlots(zone) <= 0 || current <= 0;
--- a/src/balancing/zoneshares.h
+++ b/src/balancing/zoneshares.h
@@ -94,6 +94,7 @@
     Duration costOf(const ZoneState &zone, double bytesPerRequest) const;
     double pressureOf(const ZoneState &zone, const ZoneShare &share) const;
     double roomOf(const ZoneState &zone) const;
+    bool isDestination(const ZoneState &zone) const;
     double freeSlots(const ZoneState &zone) const;
     void replaceLostZones(const ServiceZones &service, double lost);
     void replaceOwnZone(const ServiceZones &service);
--- a/src/balancing/zonewaiting.cpp
+++ b/src/balancing/zonewaiting.cpp
@@ -6,13 +6,14 @@
 namespace hornbeam {
 
 namespace {
-constexpr uint32_t baseWindow = 64;           // responses; their mean is within an eighth of the true one
-constexpr double baseDrift = 1.01;            // per window, so that a route whose requests become heavier is measured anew
-constexpr double excessWindow = 16;           // responses, about 1 s of one instance's traffic
-constexpr double minAnswers = 8;              // before a mean is used
-constexpr Duration maxAnswerAge = seconds(2); // of the last response
-constexpr double outstandingWeight = 0.2;     // per update, also of the request rate: about the last 1.2 s
-constexpr double byteWindow = 256;            // responses
+constexpr uint32_t baseWindow = 64;                    // responses; their mean is within an eighth of the true one
+constexpr double baseDrift = 1.01;                     // per window, so that a route whose requests become heavier is measured anew
+constexpr double excessWindow = 16;                    // responses, about 1 s of one instance's traffic
+constexpr double minAnswers = 8;                       // before a mean is used
+constexpr Duration maxAnswerAge = seconds(2);          // of the last response
+constexpr double averageWeight = 0.4;                  // per update, of outstanding requests and rates: about the last 0.6 s
+constexpr double byteWindow = 256;                     // responses
+constexpr Duration maxThroughputWaiting = seconds(10); // bounds the quotient while hardly any responses arrive
 
 Duration toDuration(double value)
 {
@@ -20,9 +21,9 @@
 }
 }
 
-void BaseTimes::add(const Endpoint &route, bool isOwnZone, Duration elapsed, ObservedTraffic &traffic)
+void BaseTimes::add(const Endpoint &route, bool isOwnZone, Duration inTarget, ObservedTraffic &traffic)
 {
-    const double answerSeconds = std::chrono::duration<double>(elapsed).count();
+    const double answerSeconds = std::chrono::duration<double>(inTarget).count();
     Window &window = this->windows[route];
     if (isOwnZone) {
         window.seconds += answerSeconds;
@@ -43,9 +44,13 @@
 void ZoneWaiting::add(ZoneId zone, const ObservedTraffic &traffic, double outstanding, Duration interval, TimePoint now)
 {
     Averages &averages = this->zones[zone];
-    averages.outstanding += outstandingWeight * (outstanding - averages.outstanding);
-    const double rate = interval.count() <= 0 ? 0 : traffic.requests / std::chrono::duration<double>(interval).count();
-    averages.requestsPerSecond += outstandingWeight * (rate - averages.requestsPerSecond);
+    averages.outstanding += averageWeight * (outstanding - averages.outstanding);
+    const double elapsed = std::chrono::duration<double>(interval).count();
+    if (elapsed > 0) {
+        averages.requestsPerSecond += averageWeight * (traffic.requests / elapsed - averages.requestsPerSecond);
+        averages.answersPerSecond += averageWeight * (traffic.answers / elapsed - averages.answersPerSecond);
+        averages.overhead += averageWeight * (traffic.overheadSeconds / elapsed - averages.overhead);
+    }
     this->byteSum += static_cast<double>(traffic.bytes);
     if (traffic.answers == 0) {
         return;
@@ -70,7 +75,7 @@
 double ZoneWaiting::outstandingIn(ZoneId zone) const
 {
     const auto found = this->zones.find(zone);
-    return found == this->zones.end() ? 0 : found->second.outstanding;
+    return found == this->zones.end() ? 0 : std::max(0.0, found->second.outstanding - found->second.overhead);
 }
 
 double ZoneWaiting::requestsPerSecond() const
@@ -94,7 +99,19 @@
 Duration ZoneWaiting::waitingIn(ZoneId zone, double outstandingOfAll, uint32_t slots, TimePoint now) const
 {
     const double queued = slots == 0 ? 0 : std::max(0.0, outstandingOfAll / slots - 1);
-    return std::max({ Duration{ 0 }, this->excessIn(zone, now), toDuration(this->serviceSeconds * queued) });
+    const Duration throughputWaiting = queued > 0 ? this->throughputWaitingIn(zone) : Duration{ 0 };
+    return std::max({ Duration{ 0 }, this->excessIn(zone, now), toDuration(this->serviceSeconds * queued), throughputWaiting });
+}
+
+// Response times show a slow zone only once its slow responses have arrived; the responses per second fall at once.
+Duration ZoneWaiting::throughputWaitingIn(ZoneId zone) const
+{
+    const auto found = this->zones.find(zone);
+    if (found == this->zones.end() || found->second.answersPerSecond <= 0) {
+        return Duration{ 0 };
+    }
+    const double seconds = this->outstandingIn(zone) / found->second.answersPerSecond - this->serviceSeconds;
+    return std::min(maxThroughputWaiting, toDuration(seconds));
 }
 
 Duration ZoneWaiting::serviceTime() const
--- a/src/flows/flowforwarder.cpp
+++ b/src/flows/flowforwarder.cpp
@@ -151,7 +151,6 @@
     }
     target->observed.bytes += packet.contentBytes;
     if (route != nullptr && observation.answerTime > Duration{ 0 }) {
-        this->placement.zoneRouting().addAnswer(packet.flow.service, *target, observation.answerTime, observation.answerBytes);
         this->answers.add(packet.flow.service, *target, observation.answerTime);
     }
     if (route != nullptr) {
--- a/src/flows/placement.cpp
+++ b/src/flows/placement.cpp
@@ -85,7 +85,9 @@
 void FlowPlacement::admit(Placement &placement, const Route &route, TimePoint now)
 {
     placement.verdict = this->admission.admit(route, placement.service, *placement.target, now);
-    placement.verdict.waiting = this->waiting.check(demandOf(route), placement.service);
+    // The expected waiting is that of the own zone's requests. A share of another zone has been limited by what that zone has free.
+    const bool isInOtherZone = placement.isByZoneShare && placement.target->record.zone != this->ownZone;
+    placement.verdict.waiting = isInOtherZone ? WaitingVerdict{} : this->waiting.check(demandOf(route), placement.service);
     const bool isAdmitted = placement.verdict.isAdmitted && placement.verdict.waiting.isAdmitted;
     placement.outcome = isAdmitted ? PlacementOutcome::Placed : PlacementOutcome::Overloaded;
 }
@@ -173,11 +175,14 @@
     const std::string &service = target.record.service;
     if (observation.roundTrip > Duration{ 0 }) {
         this->waiting.addRoundTrip(route.address, service, observation.roundTrip);
+        this->zones.addRoundTrip(target, observation.roundTrip);
     }
     if (observation.answerTime > Duration{ 0 }) {
         this->admission.addAnswer(route, target, { observation.answerTime, observation.answerBytes }, now);
         const bool isShort = observation.answerBytes <= maxPacketContent;
-        this->waiting.addAnswer(route.address, service, { observation.answerTime, observation.answerBytes, isShort, observation.acknowledgement }, now);
+        const AnswerParts times =
+            this->waiting.addAnswer(route.address, service, { observation.answerTime, observation.answerBytes, isShort, observation.acknowledgement }, now);
+        this->zones.addAnswer(route.address, target, times, observation.answerBytes);
     }
     if (observation.isRequest) {
         ++this->reuse[service].requests;
--- a/src/flows/zonerouting.cpp
+++ b/src/flows/zonerouting.cpp
@@ -32,10 +32,18 @@
     this->loads = source;
 }
 
-void ZoneRouting::addAnswer(const Endpoint &route, Target &target, Duration elapsed, uint32_t bytes)
+void ZoneRouting::addRoundTrip(Target &target, Duration elapsed)
+{
+    target.observed.overheadSeconds += std::chrono::duration<double>(elapsed).count();
+}
+
+void ZoneRouting::addAnswer(const Endpoint &route, Target &target, const AnswerParts &times, uint32_t bytes)
 {
     target.observed.bytes += bytes;
-    this->baseTimes.add(route, target.record.zone == this->ownZone, elapsed, target.observed);
+    target.observed.overheadSeconds += std::chrono::duration<double>(times.overhead).count();
+    if (!times.isRejection) {
+        this->baseTimes.add(route, target.record.zone == this->ownZone, times.inTarget, target.observed);
+    }
 }
 
 std::vector<ZoneShareChange> ZoneRouting::tick(const std::vector<PlacementRule *> &rules, TimePoint now)
@@ -102,8 +110,12 @@
         const ReportedZoneLoad *report = this->loads->find(zone, serviceIdOf(service));
         state.isReported = report != nullptr;
         if (zone == this->ownZone) {
-            state.waiting = report == nullptr ? waiting.waitingIn(zone, state.outstanding, state.slots, now) : report->waiting;
-            state.outstanding = report == nullptr ? state.outstanding : report->outstanding;
+            // Reports are about 1 s older than the own values: the larger of both shows a queue that has just begun to grow.
+            state.waiting = waiting.waitingIn(zone, state.outstanding, state.slots, now);
+            if (report != nullptr) {
+                state.waiting = std::max(state.waiting, report->waiting);
+                state.outstanding = std::max(state.outstanding, report->outstanding);
+            }
             result.own = state;
             continue;
         }
--- a/src/flows/zonerouting.h
+++ b/src/flows/zonerouting.h
@@ -2,6 +2,7 @@
 
 // Applies the zone decision to new flows: collects the values about the services' targets, has the shares of the zones updated and selects the zone of a flow.
 
+#include "balancing/waitingadmission.h"
 #include "balancing/zoneloads.h"
 #include "balancing/zoneshares.h"
 #include "balancing/zonewaiting.h"
@@ -35,8 +36,10 @@
 
     /** Sets where reports of other zones come from; without them nothing is decided. Precondition: `loads` outlives its use or is reset to null. */
     void setLoads(ZoneLoads *loads);
+    /** A flow was opened at a target; time from its opening packet to the caller's next packet. */
+    void addRoundTrip(Target &target, Duration elapsed);
     /** Records a response to a request of a route's flow. `bytes` is the size of the response. */
-    void addAnswer(const Endpoint &route, Target &target, Duration elapsed, uint32_t bytes);
+    void addAnswer(const Endpoint &route, Target &target, const AnswerParts &times, uint32_t bytes);
     /** Updates the shares if that is due, and returns those that have changed noticeably since they were last returned. */
     std::vector<ZoneShareChange> tick(const std::vector<PlacementRule *> &rules, TimePoint now);
 
--- a/tests/zonerouting_test.cpp
+++ b/tests/zonerouting_test.cpp
@@ -63,7 +63,7 @@
                 if (target->record.zone == localZone) {
                     target->outstandingRequests = outstanding;
                     ++target->observed.requests;
-                    this->placement.zoneRouting().addAnswer(feedAddress, *target, took, 300);
+                    this->placement.zoneRouting().addAnswer(feedAddress, *target, { took, Duration{ 0 }, false }, 300);
                 }
             }
             for (ZoneShareChange &change : this->placement.updateZoneShares(this->clock.now())) {
