Zone routing: flows at home are compared with all zones while another one gains

Change: flows that are not sent away are placed at home only while no other zone gains enough, and compared with all targets otherwise; own values replace reports only above 1.5 requests a slot.

--- a/src/balancing/zoneshares.cpp
+++ b/src/balancing/zoneshares.cpp
@@ -62,6 +62,10 @@
         return;
     }
     this->adjust(service);
+    this->hasBetterZone = false;
+    for (size_t i = 0; i < this->shares.size(); ++i) {
+        this->hasBetterZone = this->hasBetterZone || (service.others[i].isReported && this->shares[i].gain > this->risingGain());
+    }
     const bool hasReports = std::any_of(service.others.begin(), service.others.end(), [](const ZoneState &zone) { return zone.isReported; });
     this->decided = hasReports && (this->leavingShare() > 0 || useOf(service.own) > this->settings.decidedUse);
 }
@@ -106,6 +110,12 @@
     return std::clamp((this->settings.maxUse - useOf(zone)) / useBand, -1.0, 1.0);
 }
 
+// Above which flows leave.
+Duration ZoneShares::risingGain() const
+{
+    return this->settings.minGain + scaled(this->homeWaiting, this->settings.minGainShare);
+}
+
 // From -1, the share must fall, to 1, it should rise. 0 within the hysteresis.
 double ZoneShares::pressureOf(const ZoneState &zone, const ZoneShare &share) const
 {
@@ -113,7 +123,7 @@
         return -1;
     }
     const double gain = static_cast<double>(share.gain.count());
-    const double rising = static_cast<double>(this->settings.minGain.count()) + this->settings.minGainShare * static_cast<double>(this->homeWaiting.count());
+    const auto rising = static_cast<double>(this->risingGain().count());
     const double falling = rising / 2;
     double pressure = 0;
     if (gain > rising) {
@@ -206,7 +216,9 @@
         return choice;
     }
     choice.leavingShare = this->leavingShare();
-    choice.zone = this->ownZone;
+    if (!this->hasBetterZone) {
+        choice.zone = this->ownZone;
+    }
     for (const ZoneShare &share : this->shares) {
         if (draw < share.share) {
             choice.zone = share.zone;
--- a/src/balancing/zoneshares.h
+++ b/src/balancing/zoneshares.h
@@ -55,7 +55,7 @@
 /** The zone of a new flow. */
 struct ZoneChoice
 {
-    std::optional<ZoneId> zone; // none: nothing is decided
+    std::optional<ZoneId> zone; // none: nothing is decided, or the own zone is worse than others, so that targets of all zones are compared
     double leavingShare = 0;
 };
 
@@ -95,6 +95,7 @@
     double pressureOf(const ZoneState &zone, const ZoneShare &share) const;
     double roomOf(const ZoneState &zone) const;
     bool isDestination(const ZoneState &zone) const;
+    Duration risingGain() const;
     double freeSlots(const ZoneState &zone) const;
     void replaceLostZones(const ServiceZones &service, double lost);
     void replaceOwnZone(const ServiceZones &service);
@@ -107,6 +108,7 @@
     Duration homeWaiting{ 0 };
     double averageNeeded = 0; // moving average of neededShare()
     bool decided = false;
+    bool hasBetterZone = false; // another zone gains enough that flows leave
 };
 
 } // namespace hornbeam
--- a/src/balancing/zonewaiting.cpp
+++ b/src/balancing/zonewaiting.cpp
@@ -12,6 +12,7 @@
 constexpr double minAnswers = 8;                       // before a mean is used
 constexpr Duration maxAnswerAge = seconds(2);          // of the last response
 constexpr double averageWeight = 0.4;                  // per update, of outstanding requests and rates: about the last 0.6 s
+constexpr double minQueued = 0.5;                      // queued requests per slot from which a queue is certain
 constexpr double byteWindow = 256;                     // responses
 constexpr Duration maxThroughputWaiting = seconds(10); // bounds the quotient while hardly any responses arrive
 
@@ -99,7 +100,7 @@
 Duration ZoneWaiting::waitingIn(ZoneId zone, double outstandingOfAll, uint32_t slots, TimePoint now) const
 {
     const double queued = slots == 0 ? 0 : std::max(0.0, outstandingOfAll / slots - 1);
-    const Duration throughputWaiting = queued > 0 ? this->throughputWaitingIn(zone) : Duration{ 0 };
+    const Duration throughputWaiting = queued > minQueued ? this->throughputWaitingIn(zone) : Duration{ 0 };
     return std::max({ Duration{ 0 }, this->excessIn(zone, now), toDuration(this->serviceSeconds * queued), throughputWaiting });
 }
 
--- a/src/balancing/zonewaiting.h
+++ b/src/balancing/zonewaiting.h
@@ -62,7 +62,7 @@
     Duration excessIn(ZoneId zone, TimePoint now) const;
     /**
      * Expected waiting time in a zone: the largest of excessIn(), the time that the outstanding requests of all instances take on the zone's slots and, while
-     * these are more than the slots, the time that this instance's take at its responses per second (Little's law).
+     * these are more than 1.5 times the slots, the time that this instance's take at its responses per second (Little's law).
      */
     Duration waitingIn(ZoneId zone, double outstandingOfAll, uint32_t slots, TimePoint now) const;
     /** Mean base time of the requests; 0 before the first responses. */
--- a/src/flows/zonerouting.cpp
+++ b/src/flows/zonerouting.cpp
@@ -8,6 +8,7 @@
 namespace {
 constexpr double loggedChange = 0.1; // of the share that leaves the zone
 constexpr double percent = 100;
+constexpr double ownQueueUse = 1.5;                  // own requests per slot that random arrivals hardly ever reach without a queue
 constexpr uint64_t drawSalt = 0x7A6F6E6573686172ULL; // so that the draw is independent of the choice of the service
 constexpr int drawBits = 53;                         // of a double's mantissa
 
@@ -110,11 +111,14 @@
         const ReportedZoneLoad *report = this->loads->find(zone, serviceIdOf(service));
         state.isReported = report != nullptr;
         if (zone == this->ownZone) {
-            // Reports are about 1 s older than the own values: the larger of both shows a queue that has just begun to grow.
+            // Reports are about 1 s older than the own values, which show first that a queue has begun to grow.
             state.waiting = waiting.waitingIn(zone, state.outstanding, state.slots, now);
-            if (report != nullptr) {
+            if (report != nullptr && state.outstanding > ownQueueUse * state.slots) {
                 state.waiting = std::max(state.waiting, report->waiting);
                 state.outstanding = std::max(state.outstanding, report->outstanding);
+            } else if (report != nullptr) {
+                state.waiting = report->waiting;
+                state.outstanding = report->outstanding;
             }
             result.own = state;
             continue;
--- a/tests/zoneshares_test.cpp
+++ b/tests/zoneshares_test.cpp
@@ -166,8 +166,13 @@
         CHECK(shares.destinations()[0].share > 2 * shares.destinations()[1].share);
         CHECK(shares.choose(0).zone == ZoneId{ 2 });
         CHECK(shares.choose(shares.destinations()[0].share).zone == ZoneId{ 3 });
-        CHECK(shares.choose(0.999).zone == ZoneId{ 1 });
         CHECK(shares.expectedGain() > milliseconds(50));
+        // while other zones gain, the flows that remain are compared with all targets; afterwards they are kept at home
+        CHECK_FALSE(shares.choose(0.999).zone.has_value());
+        service.own.waiting = milliseconds(0);
+        shares.update(service);
+        REQUIRE(shares.leavingShare() > 0);
+        CHECK(shares.choose(0.999).zone == ZoneId{ 1 });
     }
     SECTION("short zones get nothing: no free slots, no targets, no recent report, own flows leave")
     {
