Zone routing: flows are kept at home unless another zone waits for less than half the time

Cause: in an overload of all zones the waiting times differ by noise and by phase, and flows crossed for little. Change: they are compared with all zones only where the gain is over half of the own waiting time.

--- a/src/balancing/zoneshares.cpp
+++ b/src/balancing/zoneshares.cpp
@@ -14,6 +14,7 @@
 constexpr double returnFactor = 0.25;           // part of the flows that may return per update
 constexpr double maxLeavingOfDestination = .05; // a zone that sends more of its own flows away is sent none, so that zones don't exchange flows,
 constexpr double maxLeavingOfNeeded = 0.5;      // unless this is less than half of what the own zone must send away
+constexpr double betterZoneGain = 0.5;          // of the own waiting time: above it no flow is kept at home
 constexpr double minShare = 0.01;               // a falling share below it becomes 0
 constexpr double bytesPerKilobyte = 1000;
 
@@ -64,7 +65,8 @@
     this->adjust(service);
     this->hasBetterZone = false;
     for (size_t i = 0; i < this->shares.size(); ++i) {
-        this->hasBetterZone = this->hasBetterZone || (service.others[i].isReported && this->shares[i].gain > this->risingGain());
+        const Duration muchGain = this->settings.minGain + scaled(this->homeWaiting, betterZoneGain);
+        this->hasBetterZone = this->hasBetterZone || (service.others[i].isReported && this->shares[i].gain > muchGain);
     }
     const bool hasReports = std::any_of(service.others.begin(), service.others.end(), [](const ZoneState &zone) { return zone.isReported; });
     this->decided = hasReports && (this->leavingShare() > 0 || useOf(service.own) > this->settings.decidedUse);
--- a/src/balancing/zoneshares.h
+++ b/src/balancing/zoneshares.h
@@ -108,7 +108,7 @@
     Duration homeWaiting{ 0 };
     double averageNeeded = 0; // moving average of neededShare()
     bool decided = false;
-    bool hasBetterZone = false; // another zone gains enough that flows leave
+    bool hasBetterZone = false; // in another zone flows wait for less than half the time
 };
 
 } // namespace hornbeam
