Platform: numbers, keys and the blocking interface are in src, calls are written once

The prefix of a key and whether the store processed a call are in src/store/platformapi, the interface of hornbeamctl's calls in src/store/blockingplatformapi.h.

--- a/src/apps/editsession.h
+++ b/src/apps/editsession.h
@@ -4,7 +4,7 @@
 // operator's edit came between. The edit's identifier is kept in the object, so that an edit whose answer was lost is recognised as done.
 
 #include "core/clock.h"
-#include "platform/blockingplatform.h"
+#include "store/blockingplatformapi.h"
 #include "table/tableparser.h"
 
 #include <string>
--- a/src/apps/hornbeamctl.cpp
+++ b/src/apps/hornbeamctl.cpp
@@ -6,6 +6,7 @@
 #include "apps/flowexplain.h"
 #include "apps/placementpage.h"
 #include "apps/tablecells.h"
+#include "platform/blockingplatform.h"
 #include "store/httpget.h"
 
 #include <CLI/CLI.hpp>
--- a/src/core/upstreamtoken.h
+++ b/src/core/upstreamtoken.h
@@ -2,6 +2,7 @@
 
 // CoAP tokens of exchanges with targets. The first byte identifies the component that handles the response.
 
+#include "core/bigendian.h"
 #include "core/types.h"
 
 namespace hornbeam {
@@ -20,9 +21,7 @@
 {
     Bytes token(upstreamTokenBytes);
     token[0] = static_cast<uint8_t>(kind);
-    for (size_t i = 1; i < upstreamTokenBytes; ++i) {
-        token[i] = static_cast<uint8_t>(number >> (8 * (upstreamTokenBytes - 1 - i)));
-    }
+    writeBigEndian(token.data() + 1, upstreamTokenBytes - 1, number);
     return token;
 }
 
@@ -32,10 +31,7 @@
     if (token.size() != upstreamTokenBytes || token[0] != static_cast<uint8_t>(kind)) {
         return false;
     }
-    number = 0;
-    for (size_t i = 1; i < upstreamTokenBytes; ++i) {
-        number = (number << 8U) | token[i];
-    }
+    number = readBigEndian(token.data() + 1, upstreamTokenBytes - 1);
     return true;
 }
 
--- a/src/peer/keyring.cpp
+++ b/src/peer/keyring.cpp
@@ -1,5 +1,7 @@
 #include "peer/keyring.h"
 
+#include "core/bigendian.h"
+
 #include <array>
 #include <glog/logging.h>
 #include <mutex>
@@ -47,11 +49,7 @@
             && EVP_MAC_final(context.get(), digest.data(), &digestBytes, digest.size()) == 1;
         CHECK(good) << "HMAC-SHA256 failed"; // never return an invalid signature
         this->releaseContext(std::move(context));
-        uint64_t signature = 0;
-        for (size_t i = 0; i < signatureBytes; ++i) {
-            signature = (signature << 8U) | digest.at(i);
-        }
-        return signature;
+        return readBigEndian(digest.data(), signatureBytes);
     }
 
 private:
--- a/src/requests/echo.cpp
+++ b/src/requests/echo.cpp
@@ -1,5 +1,7 @@
 #include "requests/echo.h"
 
+#include "core/bigendian.h"
+
 #include <algorithm>
 #include <array>
 
@@ -12,18 +14,13 @@
 
 void appendWord(Bytes &out, uint64_t word)
 {
-    for (size_t i = 0; i < wordBytes; ++i) {
-        out.push_back(static_cast<uint8_t>(word >> (8 * (wordBytes - 1 - i))));
-    }
+    out.resize(out.size() + wordBytes);
+    writeBigEndian(out.data() + out.size() - wordBytes, wordBytes, word);
 }
 
 uint64_t readWord(const Bytes &bytes, size_t index)
 {
-    uint64_t word = 0;
-    for (size_t i = 0; i < wordBytes; ++i) {
-        word = (word << 8U) | bytes[index * wordBytes + i];
-    }
-    return word;
+    return readBigEndian(bytes.data() + index * wordBytes, wordBytes);
 }
 
 Bytes signedBytes(const EchoValue &value, ServiceId service, const Endpoint &caller)
--- a/src/store/platformapi.cpp
+++ b/src/store/platformapi.cpp
@@ -26,6 +26,11 @@
     return object.content != nullptr ? *object.content : parseJson(object.value);
 }
 
+std::string keyPrefixOf(const std::string &key)
+{
+    return key.substr(0, key.find('/') + 1);
+}
+
 void readInstances(PlatformReply &reply)
 {
     for (const PlatformObject &object : reply.objects) {
--- a/src/store/platformapi.h
+++ b/src/store/platformapi.h
@@ -84,6 +84,11 @@
     {
         return this->outcome == PlatformOutcome::Ok;
     }
+    /** Whether the store processed the call: it carried it out, has no such object, or found the condition not met. */
+    bool isProcessed() const
+    {
+        return this->isOk() || this->outcome == PlatformOutcome::NotFound || this->outcome == PlatformOutcome::Conflict;
+    }
 };
 
 using PlatformCallback = std::function<void(PlatformReply)>;
@@ -114,6 +119,8 @@
 {
     return "status/" + std::string(zone);
 }
+/** The part of a key up to and including its first slash, which names the kind of the object. */
+std::string keyPrefixOf(const std::string &key);
 constexpr std::string_view tablePrefix = "tables/";
 constexpr std::string_view statusPrefix = "status/";
 constexpr std::string_view seedPrefix = "seeds/";
--- a/tests/core_test.cpp
+++ b/tests/core_test.cpp
@@ -1,3 +1,4 @@
+#include "core/bigendian.h"
 #include "core/counters.h"
 #include "core/types.h"
 
@@ -23,6 +24,15 @@
     }
 }
 
+TEST_CASE("integers are written and read in network byte order")
+{
+    std::array<uint8_t, 8> bytes{};
+    writeBigEndian(bytes.data() + 1, 3, 0xFF010203); // the byte that does not fit is dropped
+    CHECK(bytes == std::array<uint8_t, 8>{ 0, 1, 2, 3, 0, 0, 0, 0 });
+    CHECK(readBigEndian(bytes.data() + 1, 3) == 0x010203);
+    CHECK(readBigEndian(bytes.data(), 8) == 0x0001020300000000);
+}
+
 TEST_CASE("every refusal reason has a verdict, a name and a counter")
 {
     Counters counters;
