Placement: a tick goes over the targets with requests, not over all

Cause: every 20 ms an instance added up slots and outstanding requests of all targets of its services, went over them again for its own load report, and a third time to apply the reports of members. Change: the slots of the usable targets are added up when the store's list, a phase, a target's health or an evacuation changes (and once a second); requests are added up over the targets that have been sent one, which leave the list at the first tick without outstanding requests; reported requests are set by token. Values and decisions are as before, also for idle services: nothing is later than it was. Ruled out: updating idle services only every 100 ms, which loaded ones gain nothing from.

--- a/src/flows/flowforwarder.cpp
+++ b/src/flows/flowforwarder.cpp
@@ -149,6 +149,9 @@
     if (observation.isProgress) {
         this->health.recordProgress(*target, now);
     }
+    if (observation.isRequest) {
+        this->placement.recordRequest(target);
+    }
     target->observed.bytes += packet.contentBytes;
     if (route != nullptr && observation.answerTime > Duration{ 0 }) {
         this->answers.add(packet.flow.service, *target, observation.answerTime);
--- a/src/flows/flowupdates.cpp
+++ b/src/flows/flowupdates.cpp
@@ -33,12 +33,14 @@
 void FlowForwarder::onTargets(const std::vector<TargetRecord> &records, TimePoint requestedAt, FlowActions &out)
 {
     this->handleTargetChanges(this->directory.updateAll(records, requestedAt, this->clock.now()), out);
+    this->placement.onTargetsChanged(); // also records without a change of phase
     this->beginEvacuationWait();
 }
 
 void FlowForwarder::onEvacuations(const std::set<ZoneId> &zones)
 {
     this->evacuations.update(zones);
+    this->placement.onTargetsChanged();
 }
 
 void FlowForwarder::beginEvacuationWait()
@@ -57,11 +59,17 @@
     for (const std::string &name : removed) {
         this->handleTargetChanges(this->directory.remove(name, now), out);
     }
+    if (!updated.empty()) {
+        this->placement.onTargetsChanged(); // also records without a change of phase
+    }
     this->handleTargetChanges(this->directory.confirm(requestedAt, now), out);
 }
 
 void FlowForwarder::handleTargetChanges(const std::vector<TargetChange> &changes, FlowActions &out)
 {
+    if (!changes.empty()) {
+        this->placement.onTargetsChanged();
+    }
     for (const TargetChange &change : changes) {
         this->observer.onTargetChange(change);
         const TargetPtr &target = change.target;
@@ -138,6 +146,7 @@
     const CheckContext context = this->checkContextOf(*target, outcome);
     const HealthVerdict verdict = this->health.endCheck(*target, outcome, context, now);
     if (wasSilent != target->isSilent()) {
+        this->placement.onTargetsChanged();
         this->observer.onTargetHealth(*target, outcome);
     }
     if (target->isSilent() && target->phase == TargetPhase::Unlisted) {
--- a/src/flows/placement.cpp
+++ b/src/flows/placement.cpp
@@ -8,6 +8,13 @@
 namespace {
 constexpr double minRequestsPerFlow = 2; // of a service, for a choice by the reports of other members
 constexpr double reuseDecay = 0.98;      // in a tick of 20 ms, so that sums cover about a second
+// Slots are added up again after this long in case a change of a target was not reported by onTargetsChanged().
+constexpr Duration capacityInterval = seconds(1);
+
+bool isUsable(const Target &target, const CandidateFilter &filter)
+{
+    return target.phase == TargetPhase::Ready && !target.isSilent() && filter.statusOf(target) != CandidateStatus::Evacuated;
+}
 
 RouteDemand demandOf(const Route &route)
 {
@@ -42,6 +49,7 @@
     Placement placement = this->decide(route, request, now);
     if (placement.outcome == PlacementOutcome::Placed) {
         this->recordOpening(*placement.target, now);
+        this->recordRequest(placement.target);
         this->reuse[placement.service].openings += request.previousTarget == nullptr ? 1 : 0;
     }
     return placement;
@@ -158,6 +166,19 @@
     return CandidateFilter{ this->rules, now }.statusOf(target);
 }
 
+void FlowPlacement::recordRequest(const TargetPtr &target)
+{
+    if (!target->isBusy) {
+        target->isBusy = true;
+        this->busyTargets[target->record.service].push_back(target);
+    }
+}
+
+void FlowPlacement::onTargetsChanged()
+{
+    this->capacities.clear();
+}
+
 void FlowPlacement::onRoutes(const RouteTable &routes)
 {
     this->admission.retainRoutes(routes);
@@ -202,6 +223,12 @@
         flows.requests *= reuseDecay;
         flows.openings *= reuseDecay;
     }
+    for (auto &[service, targets] : this->busyTargets) {
+        std::erase_if(targets, [](const TargetPtr &target) {
+            target->isBusy = target->outstandingRequests > 0;
+            return !target->isBusy;
+        });
+    }
     const CandidateFilter filter{ this->rules, now };
     for (const std::string &service : this->services) {
         this->waiting.update(service, this->occupancyOf(service, filter, now), now);
@@ -216,33 +243,52 @@
 
 // Assumes that other zones send as many requests to the targets of this zone as this one to theirs. A zone with few targets counts on all targets, because
 // its flows go to other zones.
-ServiceOccupancy FlowPlacement::occupancyOf(const std::string &service, const CandidateFilter &filter, TimePoint now) const
+ServiceOccupancy FlowPlacement::occupancyOf(const std::string &service, const CandidateFilter &filter, TimePoint now)
 {
     ServiceOccupancy occupancy;
-    double slots = 0;
-    double zoneSlots = 0;
-    size_t targets = 0;
-    for (const TargetPtr &target : this->directory.targetsOf(service)) {
-        const bool isUsable = target->phase == TargetPhase::Ready && !target->isSilent() && filter.statusOf(*target) != CandidateStatus::Evacuated;
-        if (!isUsable || this->isUnresponsive(*target, now)) {
+    Capacity capacity = this->capacityOf(service, filter, now);
+    for (const TargetPtr &target : this->busyTargets[service]) {
+        if (!isUsable(*target, filter)) {
             continue;
         }
-        occupancy.outstanding += target->outstandingRequests;
-        slots += target->record.slots;
-        zoneSlots += target->record.zone == this->ownZone ? target->record.slots : 0;
-        ++targets;
+        if (!this->isUnresponsive(*target, now)) {
+            occupancy.outstanding += target->outstandingRequests;
+            continue;
+        }
+        capacity.slots -= target->record.slots;
+        capacity.zoneSlots -= target->record.zone == this->ownZone ? target->record.slots : 0;
+        --capacity.targets;
     }
-    occupancy.slots = std::max(slots / static_cast<double>(this->instances), zoneSlots / static_cast<double>(this->zoneInstances));
+    occupancy.slots = std::max(capacity.slots / static_cast<double>(this->instances), capacity.zoneSlots / static_cast<double>(this->zoneInstances));
     occupancy.isReportExpected = this->zoneInstances > 1 && this->settings.reports.loadPercent > 0;
     const auto reported = this->reportedServices.find(service);
     if (this->hasReports && reported != this->reportedServices.end()) {
         occupancy.reportedOutstanding = reported->second.held;
         occupancy.reports = reported->second.reports;
     }
-    occupancy.slotsPerTarget = targets == 0 ? 1 : slots / static_cast<double>(targets);
+    occupancy.slotsPerTarget = capacity.targets == 0 ? 1 : capacity.slots / static_cast<double>(capacity.targets);
     return occupancy;
 }
 
+FlowPlacement::Capacity FlowPlacement::capacityOf(const std::string &service, const CandidateFilter &filter, TimePoint now)
+{
+    const auto known = this->capacities.find(service);
+    if (known != this->capacities.end() && now - known->second.summedAt < capacityInterval) {
+        return known->second;
+    }
+    Capacity capacity;
+    capacity.summedAt = now;
+    for (const TargetPtr &target : this->directory.targetsOf(service)) {
+        if (isUsable(*target, filter)) {
+            capacity.slots += target->record.slots;
+            capacity.zoneSlots += target->record.zone == this->ownZone ? target->record.slots : 0;
+            ++capacity.targets;
+        }
+    }
+    this->capacities[service] = capacity;
+    return capacity;
+}
+
 OwnLoad FlowPlacement::ownLoad() const
 {
     OwnLoad load;
@@ -251,8 +297,12 @@
             continue;
         }
         load.services.push_back({ serviceIdOf(service), state.ownOutstanding, state.slots });
-        for (const TargetPtr &target : this->directory.targetsOf(service)) {
-            if (target->outstandingRequests > 0) {
+        const auto busy = this->busyTargets.find(service);
+        std::vector<TargetPtr> targets = busy == this->busyTargets.end() ? std::vector<TargetPtr>{} : busy->second;
+        std::sort(targets.begin(), targets.end(), [](const TargetPtr &a, const TargetPtr &b) { return a->record.name < b->record.name; });
+        for (const TargetPtr &target : targets) {
+            const bool isListed = target->phase != TargetPhase::Unlisted && target->phase != TargetPhase::Departed;
+            if (target->outstandingRequests > 0 && isListed) {
                 load.targets.push_back({ target->token, target->outstandingRequests });
             }
         }
@@ -262,7 +312,7 @@
 
 void FlowPlacement::onReportedLoad(const ReportedLoad &load)
 {
-    if (load.reports == 0 && !this->hasReports && this->reportedServices.empty()) {
+    if (load.reports == 0 && !this->hasReports && this->reportedServices.empty() && this->reportedTargets.empty()) {
         return;
     }
     this->hasReports = load.reports > 0 && 2 * load.members >= static_cast<double>(this->zoneInstances - 1);
@@ -272,8 +322,16 @@
         if (found != load.services.end()) {
             this->reportedServices[service] = found->second;
         }
-        for (const TargetPtr &target : this->directory.targetsOf(service)) {
-            target->reportedRequests = load.outstandingOf(target->token);
+    }
+    for (const TargetPtr &target : this->reportedTargets) {
+        target->reportedRequests = 0;
+    }
+    this->reportedTargets.clear();
+    for (const auto &[token, outstanding] : load.targets) {
+        const TargetPtr target = this->directory.findToken(token);
+        if (target != nullptr && this->services.contains(target->record.service)) {
+            target->reportedRequests = outstanding;
+            this->reportedTargets.push_back(target);
         }
     }
 }
--- a/src/flows/placement.h
+++ b/src/flows/placement.h
@@ -91,6 +91,10 @@
     void onRoutes(const RouteTable &routes);
     /** Records what a packet of an open flow revealed. */
     void onObservation(const Route &route, Target &target, const FlowObservation &observation, TimePoint now);
+    /** A request was sent to a target through this instance. place() does this for the targets that it places. */
+    void recordRequest(const TargetPtr &target);
+    /** Call it whenever targets, their records, their phases or their health have changed, or a zone's evacuation. */
+    void onTargetsChanged();
     /** Sets the number of live instances, including this one, in all zones and in the own zone. */
     void setInstanceCounts(size_t allZones, size_t ownZone);
     /** Updates the load of all services. Call it about every 20 ms. */
@@ -115,6 +119,15 @@
         double openings = 0;
     };
 
+    /** Capacity of the usable targets of a service. */
+    struct Capacity
+    {
+        double slots = 0;
+        double zoneSlots = 0; // in the own zone
+        size_t targets = 0;
+        TimePoint summedAt;
+    };
+
     Placement decide(const Route &route, const PlacementRequest &request, TimePoint now);
     void choose(Placement &placement, const PlacementRequest &request, TimePoint now);
     TargetPtr chooseTarget(const std::vector<TargetPtr> &candidates, const TargetPtr &excluded, const CandidateFilter &filter, Placement &placement);
@@ -122,7 +135,8 @@
     bool placeOnOtherShare(Placement &placement, const Route &route, const PlacementRequest &request, TimePoint now);
     bool mayUseReports(const std::string &service) const;
     bool isUnresponsive(const Target &target, TimePoint now) const;
-    ServiceOccupancy occupancyOf(const std::string &service, const CandidateFilter &filter, TimePoint now) const;
+    Capacity capacityOf(const std::string &service, const CandidateFilter &filter, TimePoint now);
+    ServiceOccupancy occupancyOf(const std::string &service, const CandidateFilter &filter, TimePoint now);
 
     const FlowSettings &settings;
     const TargetDirectory &directory;
@@ -134,9 +148,12 @@
     std::vector<PlacementRule *> rules;
     std::set<std::string> services; // of the routes in force
     std::map<std::string, ReportedLoad::Service> reportedServices;
-    std::map<std::string, FlowReuse> reuse; // by service
-    bool hasReports = false;                // most members of the zone report their load
-    size_t instances = 1;                   // in all zones
+    std::map<std::string, FlowReuse> reuse;                    // by service
+    std::map<std::string, Capacity> capacities;                // by service; discarded when targets change
+    std::map<std::string, std::vector<TargetPtr>> busyTargets; // by service; all with outstanding requests, as of the last tick or later
+    std::vector<TargetPtr> reportedTargets;                    // with requests of other members
+    bool hasReports = false;                                   // most members of the zone report their load
+    size_t instances = 1;                                      // in all zones
     size_t zoneInstances = 1;
 };
 
--- a/src/flows/targetdirectory.cpp
+++ b/src/flows/targetdirectory.cpp
@@ -143,6 +143,7 @@
 std::vector<TargetPtr> TargetDirectory::all() const
 {
     std::vector<TargetPtr> targets;
+    targets.reserve(this->listed.size() + this->delisted.size());
     for (const auto &[name, target] : this->listed) {
         targets.push_back(target);
     }
--- a/src/flows/targetdirectory.h
+++ b/src/flows/targetdirectory.h
@@ -60,6 +60,7 @@
     uint32_t openFlows = 0;
     uint32_t outstandingRequests = 0; // opening packets and requests without an answer
 
+    bool isBusy = false;         // listed by FlowPlacement, because it may have outstanding requests
     double reportedRequests = 0; // outstanding requests of other members of the zone, as of their last reports
 
     // updated by TargetDirectory and WarmupRule
