--- a/tests/storesilence_test.cpp
+++ b/tests/storesilence_test.cpp
@@ -1,4 +1,4 @@
-// Tests of PlatformClient against an in-process server that stops responding or responds slowly.
+// Tests of PlatformClient against an in-process server that stops responding, responds slowly or with errors.
 
 #include "platform/platformclient.h"
 
@@ -67,6 +67,18 @@
     return result;
 }
 
+/** Writes an object to the store at an endpoint; returns how the call ended and the number of counted errors. */
+std::pair<PlatformOutcome, uint64_t> write(const Endpoint &endpoint, const PutCondition &condition)
+{
+    boost::asio::io_context context;
+    Counters counters;
+    PlatformClient client(context, counters, PlatformClientSettings{ endpoint, milliseconds(100) });
+    PlatformOutcome outcome = PlatformOutcome::Ok;
+    client.put("tables/booking", "{}", condition, [&](const PlatformReply &reply) { outcome = reply.outcome; });
+    context.run();
+    return { outcome, counters.value(Counter::PlatformErrors) };
+}
+
 }
 
 TEST_CASE("a silent store connection is detected soon after the response was due; a slow response is not treated as silent")
@@ -97,3 +109,38 @@
         CHECK(result.elapsed > milliseconds(200));
     }
 }
+
+TEST_CASE("a write that was sent may have been applied unless the store's response says otherwise")
+{
+    using Result = std::pair<PlatformOutcome, uint64_t>;
+    const PutCondition condition = PutCondition::ifVersion(3);
+    const std::string end = "Content-Length: 2\r\n\r\n{}";
+    SECTION("never sent: nothing listens at the address")
+    {
+        boost::asio::io_context context;
+        tcp::acceptor unused(context, { boost::asio::ip::address_v4::loopback(), 0 });
+        const Endpoint endpoint{ boost::asio::ip::address_v4::loopback().to_uint(), unused.local_endpoint().port() };
+        unused.close();
+        CHECK(write(endpoint, condition) == Result(PlatformOutcome::Unavailable, 1));
+    }
+    SECTION("no response")
+    {
+        const SlowStore store({}, milliseconds(0));
+        CHECK(write(store.endpoint(), condition) == Result(PlatformOutcome::Unknown, 1));
+    }
+    SECTION("a response that can't be parsed")
+    {
+        const SlowStore store({ "HTTP/1.1 200 OK\r\n" + end }, milliseconds(0));
+        CHECK(write(store.endpoint(), condition) == Result(PlatformOutcome::Unknown, 1));
+    }
+    SECTION("an internal error")
+    {
+        const SlowStore store({ "HTTP/1.1 500 Internal Server Error\r\n" + end }, milliseconds(0));
+        CHECK(write(store.endpoint(), condition) == Result(PlatformOutcome::Unknown, 1));
+    }
+    SECTION("refused: the expected version no longer exists")
+    {
+        const SlowStore store({ "HTTP/1.1 404 Not Found\r\n" + end }, milliseconds(0));
+        CHECK(write(store.endpoint(), condition) == Result(PlatformOutcome::Conflict, 0));
+    }
+}
