--- a/tests/servicefake.h
+++ b/tests/servicefake.h
@@ -13,6 +13,7 @@
 #include <map>
 #include <memory>
 #include <numeric>
+#include <optional>
 #include <random>
 #include <vector>
 
@@ -33,11 +34,13 @@
     double rate = 0;       // requests a second
     double service = 0.05; // mean, seconds
     bool isPooled = false; // flows are reused
+    size_t callers = 1;    // each with its own pool
     size_t requests = 0;
     size_t inTime = 0;
     size_t late = 0;
     size_t refusals = 0; // of new flows
     size_t rejected = 0; // by targets with full queues
+    size_t opened = 0;   // flows, since the beginning
 
     double inTimeShare() const
     {
@@ -50,15 +53,17 @@
 public:
     ServiceFake(const ServiceFake &) = delete;
     ServiceFake &operator=(const ServiceFake &) = delete;
-    ServiceFake(const WaitingSettings &settings, size_t instances, size_t targets, std::vector<FakeRoute> routes)
+    ServiceFake(const WaitingSettings &settings, size_t instances, size_t targets, std::vector<FakeRoute> routes, uint32_t seed = 7)
         : settings(settings)
         , routes(std::move(routes))
+        , random(seed)
         , targets(targets)
         , outstanding(instances, std::vector<uint32_t>(targets))
         , pools(this->routes.size())
         , admissions(instances, WaitingAdmission(this->settings))
     {
         for (size_t route = 0; route < this->routes.size(); ++route) {
+            this->pools[route].resize(this->routes[route].callers);
             this->arrive(route);
         }
         this->update();
@@ -110,8 +115,16 @@
         return sum;
     }
 
+    /** Requests at a target, and those on their way to it. */
+    size_t loadOf(size_t target) const
+    {
+        return this->targets[target].coming + this->targets[target].busy + this->targets[target].queue.size();
+    }
+
     const WaitingSettings settings;
     std::vector<FakeRoute> routes;
+    /** Returns the target of a new flow of the route; std::nullopt refuses it. Replaces the decisions of the instances if set. */
+    std::function<std::optional<size_t>(size_t route)> place;
 
     static constexpr size_t slots = 2;
     static constexpr size_t queueLimit = 8;
@@ -120,6 +133,7 @@
     struct Flow
     {
         size_t route = 0;
+        size_t caller = 0;
         size_t instance = 0;
         size_t target = 0;
         double sentAt = 0;
@@ -131,6 +145,7 @@
     using FlowPtr = std::shared_ptr<Flow>;
     struct FakeTarget
     {
+        size_t coming = 0;
         size_t busy = 0;
         std::deque<FlowPtr> queue;
     };
@@ -147,34 +162,37 @@
     {
         const double rate = this->routes[route].rate;
         if (rate > 0) {
-            this->request(route, this->time, 0);
+            const size_t callers = this->routes[route].callers;
+            this->request(route, this->time, 0, callers == 1 ? 0 : this->random() % callers);
         }
         this->at(rate > 0 ? this->exponential(1 / rate) : 0.01, [this, route] { this->arrive(route); });
     }
-    void request(size_t route, double startedAt, size_t attempt)
+    void request(size_t route, double startedAt, size_t attempt, size_t caller)
     {
         FakeRoute &of = this->routes[route];
         of.requests += attempt == 0 ? 1 : 0;
-        std::vector<FlowPtr> &pool = this->pools[route];
+        std::vector<FlowPtr> &pool = this->pools[route][caller];
         if (attempt == 0 && !pool.empty()) {
             const FlowPtr flow = pool.back();
             pool.pop_back();
             this->acknowledge(flow, Acknowledgement::WithRequest);
+            ++this->targets[flow->target].coming;
             this->send(flow, startedAt, attempt);
             return;
         }
         const auto flow = std::make_shared<Flow>();
         flow->route = route;
+        flow->caller = caller;
         flow->instance = this->random() % this->outstanding.size();
-        WaitingAdmission &admission = this->admissions[flow->instance];
-        const bool isAdmitted = admission.check(of.demand, "main").isAdmitted;
-        admission.record(of.demand, "main", !isAdmitted);
-        if (!isAdmitted) {
+        const std::optional<size_t> target = this->place ? this->place(route) : this->decide(*flow);
+        if (!target.has_value()) {
             ++of.refusals;
-            this->at(fakeRetryDelay, [this, route, startedAt, attempt] { this->retry(route, startedAt, attempt); });
+            this->at(fakeRetryDelay, [this, flow, startedAt, attempt] { this->retry(*flow, startedAt, attempt); });
             return;
         }
-        flow->target = this->reports.empty() ? this->leastOutstanding(flow->instance) : this->lessLoadedOfTwo(flow->instance);
+        flow->target = *target;
+        ++of.opened;
+        ++this->targets[flow->target].coming;
         ++this->outstanding[flow->instance][flow->target];
         this->at(2 * fakeOneWay, [this, flow, startedAt, attempt] {
             --this->outstanding[flow->instance][flow->target];
@@ -182,11 +200,22 @@
             this->send(flow, startedAt, attempt);
         });
     }
-    void retry(size_t route, double startedAt, size_t attempt)
+    void retry(const Flow &flow, double startedAt, size_t attempt)
     {
         if (attempt + 1 < fakeAttempts) {
-            this->request(route, startedAt, attempt + 1);
+            this->request(flow.route, startedAt, attempt + 1, flow.caller);
+        }
+    }
+    std::optional<size_t> decide(const Flow &flow)
+    {
+        const RouteDemand &demand = this->routes[flow.route].demand;
+        WaitingAdmission &admission = this->admissions[flow.instance];
+        const bool isAdmitted = admission.check(demand, "main").isAdmitted;
+        admission.record(demand, "main", !isAdmitted);
+        if (!isAdmitted) {
+            return std::nullopt;
         }
+        return this->reports.empty() ? this->leastOutstanding(flow.instance) : this->lessLoadedOfTwo(flow.instance);
     }
     size_t leastOutstanding(size_t instance)
     {
@@ -239,6 +268,7 @@
         this->admissions[flow->instance].addRequest(this->routes[flow->route].demand, "main");
         this->at(fakeOneWay, [this, flow] {
             FakeTarget &target = this->targets[flow->target];
+            --target.coming;
             if (target.busy < slots) {
                 this->process(flow);
             } else if (target.queue.size() < queueLimit) {
@@ -273,7 +303,7 @@
         flow->unacknowledged = bytes;
         const uint64_t number = ++flow->answer;
         if (route.isPooled) {
-            this->pools[flow->route].push_back(flow);
+            this->pools[flow->route][flow->caller].push_back(flow);
             this->at(fakeAckDelay, [this, flow, number] {
                 if (flow->answer == number) {
                     this->acknowledge(flow, Acknowledgement::Alone);
@@ -283,8 +313,7 @@
             this->acknowledge(flow, Acknowledgement::WithClosing);
         }
         if (isError) {
-            this->at(fakeRetryDelay,
-                     [this, route = flow->route, startedAt = flow->startedAt, attempt = flow->attempt] { this->retry(route, startedAt, attempt); });
+            this->at(fakeRetryDelay, [this, flow, startedAt = flow->startedAt, attempt = flow->attempt] { this->retry(*flow, startedAt, attempt); });
         }
     }
     void acknowledge(const FlowPtr &flow, Acknowledgement kind)
@@ -341,14 +370,14 @@
     FakeDirectory directory;
     std::vector<std::unique_ptr<FakeDirectory>> directories;
     std::multimap<double, std::function<void()>> events;
-    std::minstd_rand random{ 7 };
+    std::minstd_rand random;
     std::vector<FakeTarget> targets;
 
 public:
-    std::vector<std::vector<uint32_t>> outstanding;    // by instance and target
-    std::vector<std::vector<FlowPtr>> pools;           // idle flows by route
-    std::vector<WaitingAdmission> admissions;          // by instance
-    std::vector<std::unique_ptr<LoadReports>> reports; // by instance; empty without reports
+    std::vector<std::vector<uint32_t>> outstanding;       // by instance and target
+    std::vector<std::vector<std::vector<FlowPtr>>> pools; // idle flows by route and caller
+    std::vector<WaitingAdmission> admissions;             // by instance
+    std::vector<std::unique_ptr<LoadReports>> reports;    // by instance; empty without reports
 };
 
 } // namespace service_fake
