Admission: the demand of a preferred kind counts requests, not attempts

Cause: refused flows and rejected requests come back, and each attempt counted as demand. A preferred kind that needed 70% of the slots for 20 s was taken for 155% of them (236% with reports), so that its new flows were refused, which raised the estimate further. Change: attempts are divided by 1 + f + f^2, the attempts per request of callers that retry twice, with f the share that failed.

--- a/src/balancing/waitingadmission.cpp
+++ b/src/balancing/waitingadmission.cpp
@@ -16,6 +16,7 @@
 constexpr double maxOwnShare = 2;                    // of the mean of the zone
 constexpr double minOpenings = 4;                    // within refusedWindow; so that a single refusal doesn't count as a large share
 constexpr double minRequestRate = 0.5;               // per second; a priority without requests needs no preference
+constexpr int maxAttempts = 3;                       // of a caller for a request (docs/design/hard-load.md)
 constexpr double maxUnqueuedShare = 0.5;             // of the slots; with random arrivals, waiting adds less than a third to the service time below it
 constexpr double maxWaitingShare = 0.7;              // of what the latency target leaves; half of the flows wait for longer than the mean
 constexpr double minLatencyShare = 0.5;              // of the latency target; with a tighter target, usual variations would look like a queue
@@ -46,12 +47,12 @@
 
 void WaitingAdmission::addRequest(const RouteDemand &route, const std::string &service)
 {
-    this->services[service].requestsByPriority[route.priority] += 1;
+    this->services[service].loadByPriority[route.priority].attempts += 1;
 }
 
-AnswerParts WaitingAdmission::addAnswer(const Endpoint &route, const std::string &service, const AnswerSample &answer, TimePoint now)
+AnswerParts WaitingAdmission::addAnswer(const RouteDemand &route, const std::string &service, const AnswerSample &answer, TimePoint now)
 {
-    ServiceTimes &times = this->routes.try_emplace(route, this->settings).first->second;
+    ServiceTimes &times = this->routes.try_emplace(route.address, this->settings).first->second;
     ServiceLoad &load = this->services[service];
     const double overhead = std::min(toSeconds(answer.elapsed), times.overheadSeconds(answer));
     load.overhead += overhead;
@@ -61,6 +62,7 @@
     const bool isQueued = this->outstandingOf(load) > maxUnqueuedShare * load.occupancy.slots;
     result.isRejection = !times.addAnswer(answer, isQueued);
     if (result.isRejection) {
+        load.loadByPriority[route.priority].failures += 1;
         return result;
     }
     load.firstAnswerAt = load.firstAnswerAt == TimePoint{} ? now : load.firstAnswerAt;
@@ -96,8 +98,9 @@
     load.serviceTime *= answerShare;
     load.refused *= refusedShare;
     load.openings *= refusedShare;
-    for (auto &[priority, requests] : load.requestsByPriority) {
-        requests *= demandShare;
+    for (auto &[priority, requests] : load.loadByPriority) {
+        requests.attempts *= demandShare;
+        requests.failures *= demandShare;
     }
 }
 
@@ -166,15 +169,28 @@
 bool WaitingAdmission::isPreferred(const ServiceLoad &load, uint32_t priority) const
 {
     return this->settings.preferredDemandPercent > 0
-        && std::any_of(load.requestsByPriority.upper_bound(priority), load.requestsByPriority.end(),
-                       [&](const auto &entry) { return entry.second > minRequestRate * toSeconds(demandWindow); });
+        && std::any_of(load.loadByPriority.upper_bound(priority), load.loadByPriority.end(),
+                       [&](const auto &entry) { return entry.second.attempts > minRequestRate * toSeconds(demandWindow); });
+}
+
+// Failed requests come back. Each attempt counted as a request of its own would make a demand that fits look like one that doesn't: its flows would be refused,
+// come back, and raise it further.
+double WaitingAdmission::requestsOf(const PriorityLoad &load)
+{
+    const double failed = load.attempts <= 0 ? 0 : std::min(1.0, load.failures / load.attempts);
+    double attemptsPerRequest = 0;
+    double share = 1; // of the requests that need the attempt
+    for (int attempt = 0; attempt < maxAttempts; ++attempt, share *= failed) {
+        attemptsPerRequest += share;
+    }
+    return load.attempts / attemptsPerRequest;
 }
 
 double WaitingAdmission::demandOf(const ServiceLoad &load, uint32_t priority) const
 {
     double requests = 0;
-    for (const auto &[other, sum] : load.requestsByPriority) {
-        requests += other <= priority ? sum : 0;
+    for (const auto &[other, sums] : load.loadByPriority) {
+        requests += other <= priority ? requestsOf(sums) : 0;
     }
     const double rate = requests / toSeconds(demandWindow);
     return load.occupancy.slots <= 0 ? 0 : rate * load.serviceSeconds / load.occupancy.slots;
@@ -216,6 +232,7 @@
     ServiceLoad &load = this->services[service];
     if (isRefused) {
         this->addRequest(route, service);
+        load.loadByPriority[route.priority].failures += 1;
     }
     if (!this->isPreferred(load, route.priority)) {
         load.openings += 1;
--- a/src/balancing/waitingadmission.h
+++ b/src/balancing/waitingadmission.h
@@ -63,7 +63,7 @@
     /** A request of the route was sent to a target of the service. */
     void addRequest(const RouteDemand &route, const std::string &service);
     /** A target of the service answered a request of the route. */
-    AnswerParts addAnswer(const Endpoint &route, const std::string &service, const AnswerSample &answer, TimePoint now);
+    AnswerParts addAnswer(const RouteDemand &route, const std::string &service, const AnswerSample &answer, TimePoint now);
     /** Sets the occupancy of a service and updates its estimates; call it about every 20 ms. */
     void update(const std::string &service, const ServiceOccupancy &occupancy, TimePoint now);
     /** Whether a new flow of the route may be opened at the service, by the estimates of the last update; changes no state. */
@@ -88,6 +88,12 @@
     std::map<std::string, ServiceState> states() const;
 
 private:
+    /** Requests of the routes of a priority; sums that decay. */
+    struct PriorityLoad
+    {
+        double attempts = 0; // requests on open flows, and refused new flows
+        double failures = 0; // of these, refused by this instance or rejected by targets
+    };
     struct ServiceLoad
     {
         ServiceOccupancy occupancy;
@@ -102,10 +108,10 @@
         double overhead = 0;     // seconds that answered requests have spent outside of the targets
         double answers = 0;      // without errors
         TimePoint firstAnswerAt;
-        double serviceTime = 0;                        // seconds; sum of the mean service times of the answers
-        double refused = 0;                            // of the flows below
-        double openings = 0;                           // new flows of the lowest priority
-        std::map<uint32_t, double> requestsByPriority; // and refused flows
+        double serviceTime = 0; // seconds; sum of the mean service times of the answers
+        double refused = 0;     // of the flows below
+        double openings = 0;    // new flows of the lowest priority
+        std::map<uint32_t, PriorityLoad> loadByPriority;
     };
 
     void decay(ServiceLoad &load, TimePoint now) const;
@@ -116,6 +122,7 @@
     double waitingSecondsOf(const ServiceLoad &load, TimePoint now) const;
     double refusedShareOf(const ServiceLoad &load) const;
     bool isPreferred(const ServiceLoad &load, uint32_t priority) const;
+    static double requestsOf(const PriorityLoad &load);
     double demandOf(const ServiceLoad &load, uint32_t priority) const;
 
     const WaitingSettings &settings;
--- a/src/flows/placement.cpp
+++ b/src/flows/placement.cpp
@@ -181,7 +181,7 @@
         this->admission.addAnswer(route, target, { observation.answerTime, observation.answerBytes }, now);
         const bool isShort = observation.answerBytes <= maxPacketContent;
         const AnswerParts times =
-            this->waiting.addAnswer(route.address, service, { observation.answerTime, observation.answerBytes, isShort, observation.acknowledgement }, now);
+            this->waiting.addAnswer(demandOf(route), service, { observation.answerTime, observation.answerBytes, isShort, observation.acknowledgement }, now);
         this->zones.addAnswer(route.address, target, times, observation.answerBytes);
     }
     if (observation.isRequest) {
--- a/tests/servicefake.h
+++ b/tests/servicefake.h
@@ -322,8 +322,7 @@
             return;
         }
         const auto elapsed = std::chrono::duration_cast<Duration>(std::chrono::duration<double>(this->time - flow->sentAt));
-        this->admissions[flow->instance].addAnswer(this->routes[flow->route].demand.address, "main", { elapsed, flow->unacknowledged, true, kind },
-                                                   this->now());
+        this->admissions[flow->instance].addAnswer(this->routes[flow->route].demand, "main", { elapsed, flow->unacknowledged, true, kind }, this->now());
         --this->outstanding[flow->instance][flow->target];
         flow->unacknowledged = 0;
     }
--- a/tests/waiting_test.cpp
+++ b/tests/waiting_test.cpp
@@ -78,6 +78,12 @@
         service.run(3);
         CHECK(refusalShare(service.routes[pooled]) < 0.01);
     }
+    // Its requests that are rejected by full queues come back, and must not count as further demand.
+    SECTION("it is hardly refused in a long one that fits into the slots alone")
+    {
+        service.run(20);
+        CHECK(refusalShare(service.routes[preferred]) < 0.02);
+    }
     SECTION("it is refused when it exceeds the slots alone")
     {
         service.routes[preferred].rate *= 3;
@@ -336,6 +342,28 @@
     CHECK(fixture.open(502).kind == PacketDecision::Kind::Forward);
 }
 
+TEST_CASE("refused flows come back: the demand of a route counts requests, not attempts")
+{
+    const WaitingSettings settings;
+    WaitingAdmission admission(settings);
+    const RouteDemand route{ feedAddress, 1, milliseconds(400) };
+    ManualClock clock;
+    const auto demand = [&](bool isRefused) {
+        for (int i = 0; i < 1000; ++i) { // 100 attempts a second
+            clock.advance(milliseconds(10));
+            admission.addRequest(route, "booking");
+            admission.addAnswer(route, "booking", { milliseconds(20), 700, true, Acknowledgement::WithClosing }, clock.now());
+            for (int attempt = 0; isRefused && attempt < 3; ++attempt) {
+                admission.record(route, "booking", true);
+            }
+            admission.update("booking", { 1, 2, 2 }, clock.now());
+        }
+        return admission.check(route, "booking").demand;
+    };
+    CHECK(demand(false) == Approx(1).epsilon(0.1));
+    CHECK(demand(true) == Approx(4 / (1 + 0.75 + 0.75 * 0.75)).epsilon(0.1)); // three of four attempts fail
+}
+
 TEST_CASE("answers of several packets: only their times decide, not the number of outstanding requests")
 {
     const WaitingSettings settings;
@@ -344,7 +372,7 @@
     ManualClock clock;
     for (int i = 0; i < 100; ++i) {
         clock.advance(milliseconds(20));
-        admission.addAnswer(route.address, "booking", { milliseconds(60), 2400, false, Acknowledgement::Alone }, clock.now());
+        admission.addAnswer(route, "booking", { milliseconds(60), 2400, false, Acknowledgement::Alone }, clock.now());
         admission.update("booking", { 50, 2, 2 }, clock.now());
     }
     CHECK(admission.check(route, "booking").isAdmitted);
