Placement: targets of an unreachable zone get new flows only if there are no others

Cause: the shares of the zones send nothing to a zone that the membership can't reach, but the comparison of single targets, which applies while no share is decided (light load, no reports, no candidate in the chosen zone), did not know of it. Each target of a cut zone got flows until its own connection checks had failed; a zone that is cut off has no reports, so it always compared.

Change: with zone_routing, the membership's unreachable zones count for the comparison like targets that refuse connections. Nothing changes without zone_routing, or before the membership knows the own zone.

--- a/src/flows/placement.cpp
+++ b/src/flows/placement.cpp
@@ -295,7 +295,9 @@
 
 std::vector<ZoneShareChange> FlowPlacement::updateZoneShares(TimePoint now)
 {
-    return this->zones.tick(this->rules, now);
+    std::vector<ZoneShareChange> changes = this->zones.tick(this->rules, now);
+    this->chooser.setUnreachableZones(this->zones.unreachableZones());
+    return changes;
 }
 
 } // namespace hornbeam
--- a/src/flows/targetchooser.cpp
+++ b/src/flows/targetchooser.cpp
@@ -5,8 +5,9 @@
 namespace hornbeam {
 
 namespace {
-// A target that refuses connections is full or has ended. Above any ratio of loads, it gets new flows only if all targets refuse.
-constexpr double refusingTargetFactor = 1000;
+// Above any ratio of loads. A target that refuses connections is full or has ended: it gets new flows only if all targets refuse. The same applies to targets
+// in an unreachable zone, each of which would otherwise get flows until its own connection checks fail.
+constexpr double avoidedTargetFactor = 1000;
 constexpr uint32_t maxDraws = 40; // of random targets, until enough usable ones are found
 }
 
@@ -41,6 +42,11 @@
     return this->leastLoaded(targets, excluded, filter, TargetPhase::Ready, false, zone);
 }
 
+void TargetChooser::setUnreachableZones(std::set<ZoneId> zones)
+{
+    this->unreachableZones = std::move(zones);
+}
+
 double TargetChooser::slownessOf(const Target &target) const
 {
     return target.answers < this->settings.minAnswersForSlowness ? 1.0 : std::clamp<double>(target.slowness, 1.0, this->settings.maxSlowness);
@@ -56,8 +62,8 @@
     constexpr double percent = 100;
     const double distance = target.record.zone == this->ownZone ? 1.0 : this->settings.ownZonePercent / percent;
     const double load = target.outstandingRequests + reported + (target.openFlows + 1) * (this->settings.openFlowPercent / percent);
-    const double refusal = target.isRefusing() ? refusingTargetFactor : 1.0;
-    return load * this->slownessOf(target) * distance * refusal / target.record.slots;
+    const double avoidance = target.isRefusing() || this->unreachableZones.contains(target.record.zone) ? avoidedTargetFactor : 1.0;
+    return load * this->slownessOf(target) * distance * avoidance / target.record.slots;
 }
 
 bool TargetChooser::isUsable(const Target &target, TargetPhase phase, bool isIdentityUnverified)
--- a/src/flows/targetchooser.h
+++ b/src/flows/targetchooser.h
@@ -8,6 +8,7 @@
 
 #include <optional>
 #include <random>
+#include <set>
 
 namespace hornbeam {
 
@@ -20,16 +21,18 @@
 
     /**
      * Returns the target with the fewest outstanding requests and open flows per slot, weighted by its speed. Targets in the own availability zone are
-     * preferred unless they are much busier than the others. Targets that refuse connections come after all others of their phase. Missing targets that were
-     * not draining are used only if no ready target is available, and targets that refused a connection and may have been replaced by another process only as a
-     * last resort. Returns null if no target accepts new flows. `excluded` may be null. Targets that the filter excludes are not used at all. `hasReports`:
-     * other members report their outstanding requests. These count, too, but the choice is then among a few random targets, because all members would choose
-     * the target that was the least loaded one of the last reports.
+     * preferred unless they are much busier than the others. Targets that refuse connections or are in an unreachable zone come after all others of their
+     * phase. Missing targets that were not draining are used only if no ready target is available, and targets that refused a connection and may have been
+     * replaced by another process only as a last resort. Returns null if no target accepts new flows. `excluded` may be null. Targets that the filter excludes
+     * are not used at all. `hasReports`: other members report their outstanding requests. These count, too, but the choice is then among a few random targets,
+     * because all members would choose the target that was the least loaded one of the last reports.
      */
     TargetPtr choose(const std::vector<TargetPtr> &targets, const TargetPtr &excluded, const CandidateFilter &filter, bool hasReports = false);
     /** The same among the ready targets of one zone. Returns null if none of them accepts new flows. */
     TargetPtr chooseInZone(const std::vector<TargetPtr> &targets, const TargetPtr &excluded, const CandidateFilter &filter, ZoneId zone,
                            bool hasReports = false);
+    /** Sets the zones whose members can't be reached, as far as the membership knows. */
+    void setUnreachableZones(std::set<ZoneId> zones);
     /** The load by which targets are compared. `reported`: requests that other members have reported. */
     double loadOf(const Target &target, double reported) const;
 
@@ -43,6 +46,7 @@
 
     const FlowSettings &settings;
     const ZoneId ownZone;
+    std::set<ZoneId> unreachableZones;
     std::minstd_rand random;
 };
 
--- a/src/flows/zonerouting.cpp
+++ b/src/flows/zonerouting.cpp
@@ -57,6 +57,7 @@
     const Duration interval = this->lastUpdate == TimePoint{} ? Duration{ 0 } : now - this->lastUpdate;
     this->lastUpdate = now;
     const auto totals = this->collect(rules, now);
+    this->updateUnreachable(totals);
     std::vector<OwnZoneLoad> ownLoads;
     for (const auto &[name, zones] : totals) {
         Service &service = this->services[name];
@@ -93,6 +94,21 @@
     return totals;
 }
 
+void ZoneRouting::updateUnreachable(const std::map<std::string, std::map<ZoneId, ZoneTotals>> &totals)
+{
+    this->unreachable.clear();
+    if (!this->loads->isReachable(this->ownZone)) {
+        return; // the membership is not known yet
+    }
+    for (const auto &[service, zones] : totals) {
+        for (const auto &[zone, total] : zones) {
+            if (!this->loads->isReachable(zone)) {
+                this->unreachable.insert(zone);
+            }
+        }
+    }
+}
+
 ServiceZones ZoneRouting::describe(const std::string &service, const std::map<ZoneId, ZoneTotals> &totals, const ZoneWaiting &waiting, TimePoint now) const
 {
     const double members = static_cast<double>(this->loads->ownMembers());
@@ -157,6 +173,11 @@
     return found->second.choose(std::ldexp(static_cast<double>(hash >> (64 - drawBits)), -drawBits));
 }
 
+const std::set<ZoneId> &ZoneRouting::unreachableZones() const
+{
+    return this->unreachable;
+}
+
 const std::map<std::string, ZoneShares> &ZoneRouting::decisions() const
 {
     return this->shares;
--- a/src/flows/zonerouting.h
+++ b/src/flows/zonerouting.h
@@ -11,6 +11,7 @@
 #include "flows/targetdirectory.h"
 
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -45,6 +46,8 @@
 
     /** The zone for a new flow; the same for each call until the next update. */
     ZoneChoice choose(const std::string &service, const FlowKey &flow) const;
+    /** The zones of targets whose members could not be reached at the last update. */
+    const std::set<ZoneId> &unreachableZones() const;
     /** The decisions by service. */
     const std::map<std::string, ZoneShares> &decisions() const;
 
@@ -64,6 +67,7 @@
 
     std::map<std::string, std::map<ZoneId, ZoneTotals>> collect(const std::vector<PlacementRule *> &rules, TimePoint now) const;
     ServiceZones describe(const std::string &service, const std::map<ZoneId, ZoneTotals> &totals, const ZoneWaiting &waiting, TimePoint now) const;
+    void updateUnreachable(const std::map<std::string, std::map<ZoneId, ZoneTotals>> &totals);
     void reportChange(const std::string &name, Service &service, const ZoneShares &shares, std::vector<ZoneShareChange> &changes) const;
 
     const FlowSettings &settings;
@@ -73,6 +77,7 @@
     BaseTimes baseTimes;
     std::map<std::string, Service> services;
     std::map<std::string, ZoneShares> shares; // by service; an entry for each in `services`
+    std::set<ZoneId> unreachable;
     TimePoint lastUpdate;
     TimePoint nextUpdate;
 };
