Zone routing: flows at home are compared with other zones only while a better one has a free slot

Cause: while another zone gained more than half of the own waiting time, flows that the shares kept at home were compared with the targets of all zones, also if that zone had no free slot or could not be reached. With three zones that were all short (1.1, 1.2 and 1.2 of their slots), zones exchanged flows again.

Change: only a zone that can be reached and has fewer outstanding requests than slots counts as better.

Measured in tests/partsmeet_test.cpp, in 15 s: of the flows of a zone at 1.2, 175 and 103 of 2,409 went to the two others, which refused a quarter of their own; none now.

--- a/src/balancing/zoneshares.cpp
+++ b/src/balancing/zoneshares.cpp
@@ -66,7 +66,9 @@
     this->hasBetterZone = false;
     for (size_t i = 0; i < this->shares.size(); ++i) {
         const Duration muchGain = this->settings.minGain + scaled(this->homeWaiting, betterZoneGain);
-        this->hasBetterZone = this->hasBetterZone || (service.others[i].isReported && this->shares[i].gain > muchGain);
+        const ZoneState &zone = service.others[i];
+        const bool hasFreeSlot = zone.isReachable && zone.isReported && useOf(zone) < 1;
+        this->hasBetterZone = this->hasBetterZone || (hasFreeSlot && this->shares[i].gain > muchGain);
     }
     const bool hasReports = std::any_of(service.others.begin(), service.others.end(), [](const ZoneState &zone) { return zone.isReported; });
     this->decided = hasReports && (this->leavingShare() > 0 || useOf(service.own) > this->settings.decidedUse);
