Tests: an overloaded zone whose flows are refused while other zones have free slots (known red)

Cause, found with tests/partsmeet_test.cpp: admission keeps the expected waiting time at home at 16 to 40 ms, but flows leave only for a gain of 10 ms plus a quarter of that time over the other zone's cost (14 ms here); and the requests per second from which the leaving share follows do not contain refused flows, so the zone's demand seems to fit.

--- a/tests/partsmeet_test.cpp
+++ b/tests/partsmeet_test.cpp
@@ -231,3 +231,15 @@
         CHECK(static_cast<double>(warm.cold) == Approx(static_cast<double>(warm.warm)).epsilon(0.1));
     }
 }
+
+// Guards against new flows that are refused at home while other zones have free slots.
+TEST_CASE("an overloaded zone beside two with free slots: its callers are served although admission limits its queues")
+{
+    PartsWorld world(evacuationSettings());
+    startLoad(world, GENERATE(std::array{ 1.1, 0.4, 0.3 }, std::array{ 1.2, 0.5, 0.5 })); // 1.95 and 2.35 of 3 zones with the requests on open flows
+    world.run(seconds(10));
+    world.run(seconds(20));
+    for (const ZoneResults &zone : world.results) {
+        CHECK(zone.inTimeShare() >= servedShare);
+    }
+}
