--- a/src/flows/placement.cpp
+++ b/src/flows/placement.cpp
@@ -13,7 +13,7 @@
 
 bool isUsable(const Target &target, const CandidateFilter &filter)
 {
-    return target.phase == TargetPhase::Ready && !target.isSilent() && filter.statusOf(target) != CandidateStatus::Evacuated;
+    return target.phase == TargetPhase::Ready && !target.isSilent() && filter.isEligible(target);
 }
 
 RouteDemand demandOf(const Route &route)
@@ -354,7 +354,9 @@
 
 std::vector<ZoneShareChange> FlowPlacement::updateZoneShares(TimePoint now)
 {
-    return this->zones.tick(this->rules, now);
+    std::vector<ZoneShareChange> changes = this->zones.tick(this->rules, now);
+    this->chooser.setUnreachableZones(this->zones.unreachableZones());
+    return changes;
 }
 
 } // namespace hornbeam
