Zone routing: the waiting time by responses per second is bounded before it becomes a duration

Cause: without responses the rate decays towards 0, and the quotient exceeds the range of a duration; the conversion is undefined then, and gives the smallest value on x86-64 and the largest on arm64. Found by reading. Change: bounded at 10 s as a number. Measured: the zone tests pass; no run showed the fault.

--- a/src/balancing/zonewaiting.cpp
+++ b/src/balancing/zonewaiting.cpp
@@ -6,15 +6,15 @@
 namespace hornbeam {
 
 namespace {
-constexpr uint32_t baseWindow = 64;                    // responses; their mean is within an eighth of the true one
-constexpr double baseDrift = 1.01;                     // per window, so that a route whose requests become heavier is measured anew
-constexpr double excessWindow = 16;                    // responses, about 1 s of one instance's traffic
-constexpr double minAnswers = 8;                       // before a mean is used
-constexpr Duration maxAnswerAge = seconds(2);          // of the last response
-constexpr double averageWeight = 0.4;                  // per update, of outstanding requests and rates: about the last 0.6 s
-constexpr double minQueued = 0.5;                      // queued requests per slot from which a queue is certain
-constexpr double byteWindow = 256;                     // responses
-constexpr Duration maxThroughputWaiting = seconds(10); // bounds the quotient while hardly any responses arrive
+constexpr uint32_t baseWindow = 64;           // responses; their mean is within an eighth of the true one
+constexpr double baseDrift = 1.01;            // per window, so that a route whose requests become heavier is measured anew
+constexpr double excessWindow = 16;           // responses, about 1 s of one instance's traffic
+constexpr double minAnswers = 8;              // before a mean is used
+constexpr Duration maxAnswerAge = seconds(2); // of the last response
+constexpr double averageWeight = 0.4;         // per update, of outstanding requests and rates: about the last 0.6 s
+constexpr double minQueued = 0.5;             // queued requests per slot from which a queue is certain
+constexpr double byteWindow = 256;            // responses
+constexpr double maxThroughputWaiting = 10;   // seconds; bounds the quotient while hardly any responses arrive, before it exceeds a duration
 
 Duration toDuration(double value)
 {
@@ -112,7 +112,7 @@
         return Duration{ 0 };
     }
     const double seconds = this->outstandingIn(zone) / found->second.answersPerSecond - this->serviceSeconds;
-    return std::min(maxThroughputWaiting, toDuration(seconds));
+    return toDuration(std::min(maxThroughputWaiting, seconds));
 }
 
 Duration ZoneWaiting::serviceTime() const
