--- a/review/common-2/common.h
+++ b/review/common-2/common.h
@@ -101,13 +101,40 @@
     return ntohl(inet_addr(text));
 }
 
-// An address of this run's network 127.x.0.0, so that runs side by side don't meet.
-inline uint32_t hostOf(uint32_t group, uint32_t number)
+// Whether nobody listens on an address.
+inline bool isFree(uint32_t ip, uint16_t port)
+{
+    const int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(ip);
+    address.sin_port = htons(port);
+    const int on = 1;
+    ::setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+    const bool isBound = ::bind(fd, reinterpret_cast<const sockaddr *>(&address), sizeof(address)) == 0 && ::listen(fd, 1) == 0;
+    ::close(fd);
+    return isBound;
+}
+
+// A loopback network 127.x.0.0 in which no other run has its store.
+inline uint32_t chooseNetwork()
 {
     constexpr uint32_t firstNetwork = 64;
     constexpr uint32_t networks = 128;
-    static const uint32_t network = firstNetwork + static_cast<uint32_t>(::getpid()) % networks;
-    return 127U << 24 | network << 16 | group << 8 | number;
+    for (uint32_t i = 0; i < networks; ++i) {
+        const uint32_t network = 127U << 24 | (firstNetwork + (static_cast<uint32_t>(::getpid()) + i) % networks) << 16;
+        if (isFree(network | 1, storePort)) {
+            return network;
+        }
+    }
+    giveUp("no free loopback network");
+}
+
+// An address of this run's network; the store has hostOf(0, 1).
+inline uint32_t hostOf(uint32_t group, uint32_t number)
+{
+    static const uint32_t network = chooseNetwork();
+    return network | group << 8 | number;
 }
 
 inline sockaddr_in toSockaddr(const Address &address)
