review: case 6, a back end of one service runs requests of another after an odd entry

An entry with a service that no configuration names and a later 'born' under the id of a living back end replaces its process, and the back end's own later entries are dropped as stale.

--- a/review/common-2/common.h
+++ b/review/common-2/common.h
@@ -21,6 +21,7 @@
 #include <set>
 #include <signal.h>
 #include <string>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/stat.h>
 #include <sys/wait.h>
@@ -534,12 +535,16 @@
 
 //--- Back ends
 
+constexpr const char *rejection = "503, not run, by"; // the answer of a full back end
+
 struct ServerHooks
 {
-    std::function<void(const std::string &server, const Packet &packet, uint32_t balancer)> onOpening;
+    std::function<void(const Packet &packet, uint32_t balancer)> onOpening;         // an opening packet arrives
+    std::function<void(const std::string &server, const Packet &packet)> onRequest; // it begins to work on a request
 };
 
-// A back end: registers in the store, accepts TCP connections, holds flows and answers each request of a flow after `workMs`.
+// A back end: registers in the store, accepts TCP connections, holds flows and works on requests. With a limit (`slots` above 0), it works on that many at a time,
+// queues `queueLimit` more and rejects the rest at once; while it is full it has no room for a health check, either, and refuses connections.
 class Server
 {
 public:
@@ -555,14 +560,8 @@
         this->born = born;
         this->state = "ready";
         this->packets = openSocket(SOCK_DGRAM, this->address);
-        this->checks = openSocket(SOCK_STREAM, this->address);
         this->loop.watch(this->packets, [this] { this->receive(); });
-        this->loop.watch(this->checks, [this] {
-            const int fd = ::accept4(this->checks, nullptr, nullptr, SOCK_CLOEXEC);
-            if (fd >= 0) {
-                ::close(fd); // the balancers close their connections without a request
-            }
-        });
+        this->listen();
         this->isRunning = true;
         this->isRegistering = true;
         this->disturbedAt = Clock::now();
@@ -607,8 +606,13 @@
     }
     std::string entry() const
     {
-        return "{\"service\":\"" + this->service + "\",\"address\":\"" + addressText(this->address) + "\",\"zone\":\"" + this->zone
-            + "\",\"version\":\"v1\",\"slots\":2,\"state\":\"" + this->state + "\",\"warmupLeftMs\":0,\"seqNo\":1,\"born\":" + std::to_string(this->born) + "}";
+        return this->entryOf(this->service, this->born);
+    }
+    // Its entry with another service and time of start.
+    std::string entryOf(const std::string &service, uint64_t born) const
+    {
+        return "{\"service\":\"" + service + "\",\"address\":\"" + addressText(this->address) + "\",\"zone\":\"" + this->zone
+            + "\",\"version\":\"v1\",\"slots\":2,\"state\":\"" + this->state + "\",\"warmupLeftMs\":0,\"seqNo\":1,\"born\":" + std::to_string(born) + "}";
     }
     bool holds(const Address &client, const Address &route) const
     {
@@ -624,6 +628,8 @@
     std::string state = "ready";
     uint64_t born = 0;
     int workMs = 10;
+    size_t slots = 0; // 0: no limit
+    size_t queueLimit = 0;
     size_t ran = 0; // requests
 
     Loop &loop;
@@ -680,7 +686,7 @@
     void open(const std::pair<Address, Address> &key, const Packet &packet, uint32_t balancer)
     {
         if (this->hooks.onOpening) {
-            this->hooks.onOpening(this->id, packet, balancer);
+            this->hooks.onOpening(packet, balancer);
         }
         Flow &flow = this->flows[key];
         if (flow.clientSequence != packet.seq) {
@@ -704,9 +710,13 @@
         if (packet.data.empty()) {
             return;
         }
+        if (this->slots > 0) {
+            this->accept(flow, packet);
+            return;
+        }
         if (packet.seq == flow.expected) {
             flow.expected += static_cast<uint32_t>(packet.data.size());
-            ++this->ran;
+            this->beginRequest(packet);
             flow.lastAnswer = "answer to " + packet.data + " by " + this->id;
             flow.lastAnswerSequence = flow.sequence;
             flow.sequence += static_cast<uint32_t>(flow.lastAnswer.size());
@@ -728,6 +738,84 @@
         });
     }
 
+    void beginRequest(const Packet &packet)
+    {
+        ++this->ran;
+        if (this->hooks.onRequest) {
+            this->hooks.onRequest(this->id, packet);
+        }
+    }
+
+    bool isFull() const
+    {
+        return this->busy + this->queue.size() >= this->slots + this->queueLimit;
+    }
+
+    // Of a back end with a limit. Answers are not sent again; loopback loses none.
+    void accept(Flow &flow, const Packet &packet)
+    {
+        if (packet.seq != flow.expected) {
+            return; // a copy
+        }
+        flow.expected += static_cast<uint32_t>(packet.data.size());
+        if (this->isFull()) {
+            this->answer(flow, packet, rejection + std::string(" ") + this->id);
+            return;
+        }
+        this->queue.push_back(packet);
+        this->work();
+    }
+
+    void work()
+    {
+        while (this->busy < this->slots && !this->queue.empty()) {
+            const Packet packet = this->queue.front();
+            this->queue.erase(this->queue.begin());
+            ++this->busy;
+            this->beginRequest(packet);
+            constexpr int spreadMs = 20;
+            const int variation = static_cast<int>(this->ran * 7919 % (2 * spreadMs + 1)) - spreadMs;
+            this->loop.after(this->workMs + variation, [this, packet] {
+                --this->busy;
+                const auto found = this->flows.find({ packet.source, packet.destination });
+                if (found != this->flows.end()) {
+                    this->answer(found->second, packet, "answer to " + packet.data + " by " + this->id);
+                }
+                this->work();
+            });
+        }
+        this->updateListener();
+    }
+
+    void answer(Flow &flow, const Packet &packet, const std::string &text)
+    {
+        const uint32_t sequence = flow.sequence;
+        flow.sequence += static_cast<uint32_t>(text.size());
+        this->send(packet, flagAck, sequence, flow.expected, text);
+    }
+
+    void updateListener()
+    {
+        if (this->isFull() && this->checks >= 0) {
+            this->loop.forget(this->checks);
+            ::close(this->checks);
+            this->checks = -1;
+        } else if (!this->isFull() && this->checks < 0) {
+            this->listen();
+        }
+    }
+
+    void listen()
+    {
+        this->checks = openSocket(SOCK_STREAM, this->address);
+        this->loop.watch(this->checks, [fd = this->checks] {
+            const int connection = ::accept4(fd, nullptr, nullptr, SOCK_CLOEXEC);
+            if (connection >= 0) {
+                ::close(connection); // the balancers close their connections without a request
+            }
+        });
+    }
+
     // Answers the client directly.
     void send(const Packet &to, uint8_t flags, uint32_t seq, uint32_t ack, const std::string &data)
     {
@@ -736,6 +824,8 @@
     }
 
     std::map<std::pair<Address, Address>, Flow> flows;
+    std::vector<Packet> queue; // requests that wait
+    size_t busy = 0;           // requests at work
     uint64_t deliveryId = 0;
     int packets = -1;
     int checks = -1;
@@ -767,22 +857,28 @@
 class Balancer
 {
 public:
-    Balancer(Loop &loop, const std::string &dir, const std::string &name, const std::string &zone, uint32_t ip, const Address &store,
-             const std::string &seeds)
-        : loop(loop), name(name), ip(ip), settingsPath(dir + "/" + name + ".json"), logPath(dir + "/" + name + ".log")
+    // `bounds`: settings that a deployment without evacuations and cold back ends lacks; each ends with a comma.
+    Balancer(Loop &loop, const std::string &dir, const std::string &name, const std::string &zone, uint32_t ip, const Address &store, const std::string &bounds)
+        : loop(loop), name(name), ip(ip), zone(zone), store(store), settingsPath(dir + "/" + name + ".json"), logPath(dir + "/" + name + ".log")
     {
-        FILE *file = std::fopen(this->settingsPath.c_str(), "w");
+        this->writeSettings(bounds);
+    }
+    // Writes deploy/settings.template.json with the values of a small deployment.
+    void writeSettings(const std::string &bounds) const
+    {
+        const std::string fresh = this->settingsPath + ".new";
+        FILE *file = std::fopen(fresh.c_str(), "w");
         if (file == nullptr) {
-            giveUp("cannot write " + this->settingsPath);
+            giveUp("cannot write " + fresh);
         }
-        // deploy/settings.template.json, with the values of a small deployment
         std::fprintf(file,
                      "{\"name\":\"%s\",\"zone\":\"%s\",\"address\":\"%s\",\"metrics_port\":%u,\"peer_port\":%u,\"platform\":\"%s\",\"flows\":{"
                      "\"packet_address\":\"%s\",\"readiness_address\":\"%s\",\"target_heartbeat_ms\":1200,\"drain_bound_ms\":3000,"
-                     "\"change_bound_ms\":3000,\"stability_ms\":4000,\"zone_routing\":1,\"first_start\":true,\"seed_hosts\":[%s]}}\n",
-                     name.c_str(), zone.c_str(), ipText(ip).c_str(), metricsPort, peerPort, addressText(store).c_str(),
-                     addressText({ ip, packetPort }).c_str(), addressText({ ip, readyPort }).c_str(), seeds.c_str());
+                     "\"change_bound_ms\":3000,\"stability_ms\":4000,%s\"zone_routing\":1,\"first_start\":true,\"seed_hosts\":[]}}\n",
+                     this->name.c_str(), this->zone.c_str(), ipText(this->ip).c_str(), metricsPort, peerPort, addressText(this->store).c_str(),
+                     addressText({ this->ip, packetPort }).c_str(), addressText({ this->ip, readyPort }).c_str(), bounds.c_str());
         std::fclose(file);
+        std::rename(fresh.c_str(), this->settingsPath.c_str());
     }
     ~Balancer()
     {
@@ -796,6 +892,7 @@
     {
         this->pid = ::fork();
         if (this->pid == 0) {
+            ::prctl(PR_SET_PDEATHSIG, SIGKILL); // ends with the case, however that ends
             const int log = ::open(this->logPath.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
             ::dup2(log, 1);
             ::dup2(log, 2);
@@ -804,11 +901,18 @@
         }
         record("%s starts", this->name.c_str());
     }
-    // SIGTERM; the platform starts the process again after it has ended.
+    // Sends a signal, unless the process has ended.
+    void signal(int number) const
+    {
+        if (this->pid > 0) {
+            ::kill(this->pid, number);
+        }
+    }
+    // SIGTERM. The platform starts a process again after it has ended.
     void restart()
     {
         record("%s gets SIGTERM", this->name.c_str());
-        ::kill(this->pid, SIGTERM);
+        this->signal(SIGTERM);
         this->isRestarting = true;
     }
     void tick()
@@ -819,10 +923,7 @@
         }
         record("%s has ended, status %d", this->name.c_str(), status);
         this->pid = 0;
-        if (!this->isRestarting) {
-            this->hasEndedByItself = true;
-            return;
-        }
+        this->endsByItself += this->isRestarting ? 0 : 1;
         this->isRestarting = false;
         this->loop.after(500, [this] { this->start(); });
     }
@@ -856,9 +957,11 @@
     pid_t pid = 0;
     bool isReady = false;
     bool isRestarting = false;
-    bool hasEndedByItself = false;
+    int endsByItself = 0;
 
 private:
+    const std::string zone;
+    const Address store;
     const std::string settingsPath;
     const std::string logPath;
     int misses = 0;
@@ -1116,4 +1219,20 @@
     return value == nullptr || std::string(value) != "0";
 }
 
+// Opens record.txt and a temporary folder for settings and logs.
+inline std::string begin(int count, char **arguments)
+{
+    if (count != 3) {
+        std::fprintf(stderr, "usage: case RECORD FOLDER\n");
+        std::exit(2);
+    }
+    recordFile = std::fopen(arguments[1], "w");
+    if (recordFile == nullptr) {
+        giveUp(std::string("cannot write ") + arguments[1]);
+    }
+    ::signal(SIGPIPE, SIG_IGN);
+    record("trouble: %s", hasTrouble() ? "yes" : "no");
+    return arguments[2];
+}
+
 } // namespace review
--- a/review/common-2/flows.h
+++ b/review/common-2/flows.h
@@ -11,11 +11,12 @@
 
 struct Deployment
 {
-    explicit Deployment(const std::string &dir) : store(loop, { hostOf(0, 1), storePort }), clients(loop, balancers, hostOf(4, 1))
+    explicit Deployment(const std::string &dir, const std::string &bounds = "")
+        : store(loop, { hostOf(0, 1), storePort }), clients(loop, balancers, hostOf(4, 1))
     {
         for (uint32_t i = 1; i <= 3; ++i) {
             this->balancers.push_back(std::make_unique<Balancer>(this->loop, dir, "front-kv-a-" + std::to_string(i), "kv-a", hostOf(1, i),
-                                                                 Address{ hostOf(0, 1), storePort }, ""));
+                                                                 Address{ hostOf(0, 1), storePort }, bounds));
         }
         this->store.put("config", "main",
                         configurationText(7, { { "booking", this->route, "unsafe", "tempahan" } }, { "tempahan" }));
@@ -29,10 +30,10 @@
         this->clients.onReset = [this](const Reset &reset) { this->judge(reset); };
     }
 
-    Server &addServer(const std::string &id)
+    Server &addServer(const std::string &id, const std::string &service = "tempahan")
     {
         const auto number = static_cast<uint32_t>(this->servers.size() + 1);
-        this->servers.push_back(std::make_unique<Server>(this->loop, this->store, id, "tempahan", "kv-a", hostOf(2, number)));
+        this->servers.push_back(std::make_unique<Server>(this->loop, this->store, id, service, "kv-a", hostOf(2, number)));
         return *this->servers.back();
     }
 
@@ -112,8 +113,9 @@
         const Server *server = this->serverOf(flow);
         const bool isLiving = server != nullptr && Clock::now() - server->disturbedAt > milliseconds(stabilityMs);
         ++(isLiving ? this->violations : this->excused);
-        record("%sopen flow %u is reset by %s while its back end %s holds it; answers so far %zu, request \"%s\" is lost", isLiving ? "FLOW: " : "excused: ",
-               flow.client.port, ipText(reset.sender).c_str(), server == nullptr ? "(none)" : server->id.c_str(), flow.answers, flow.request.c_str());
+        record("%sopen flow %u is reset by %s while its back end %s holds it; answers so far %zu, request in progress: %s", isLiving ? "FLOW: " : "excused: ",
+               flow.client.port, ipText(reset.sender).c_str(), server == nullptr ? "(none)" : server->id.c_str(), flow.answers,
+               flow.request.empty() ? "none" : flow.request.c_str());
     }
 
     // Writes the sums and returns the exit code.
@@ -121,7 +123,7 @@
     {
         this->isEnding = true;
         for (const auto &balancer : this->balancers) {
-            if (balancer->hasEndedByItself) {
+            if (balancer->endsByItself > 0) {
                 giveUp(balancer->name + " ended by itself");
             }
         }
@@ -148,20 +150,4 @@
     bool isEnding = false;
 };
 
-// Opens record.txt and a temporary folder for settings and logs.
-inline std::string begin(int count, char **arguments)
-{
-    if (count != 3) {
-        std::fprintf(stderr, "usage: case RECORD FOLDER\n");
-        std::exit(2);
-    }
-    recordFile = std::fopen(arguments[1], "w");
-    if (recordFile == nullptr) {
-        giveUp(std::string("cannot write ") + arguments[1]);
-    }
-    ::signal(SIGPIPE, SIG_IGN);
-    record("trouble: %s", hasTrouble() ? "yes" : "no");
-    return arguments[2];
-}
-
 } // namespace review
