--- a/review/common-2/common.h
+++ b/review/common-2/common.h
@@ -418,8 +418,8 @@
 
     void respond(int fd, int status, const std::string &body)
     {
-        const std::string text = "HTTP/1.1 " + std::to_string(status) + " Status\r\nContent-Type: application/json\r\nContent-Length: "
-            + std::to_string(body.size()) + "\r\n\r\n" + body;
+        const std::string text = "HTTP/1.1 " + std::to_string(status)
+            + " Status\r\nContent-Type: application/json\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
         size_t sent = 0;
         while (sent < text.size()) {
             const ssize_t size = ::send(fd, text.data() + sent, text.size() - sent, MSG_NOSIGNAL);
@@ -543,8 +543,8 @@
     std::function<void(const std::string &server, const Packet &packet)> onRequest; // it begins to work on a request
 };
 
-// A back end: registers in the store, accepts TCP connections, holds flows and works on requests. With a limit (`slots` above 0), it works on that many at a time,
-// queues `queueLimit` more and rejects the rest at once; while it is full it has no room for a health check, either, and refuses connections.
+// A back end: registers in the store, accepts TCP connections, holds flows and works on requests. With a limit (`slots` above 0), it works on that many at a
+// time, queues `queueLimit` more and rejects the rest at once; while it is full it has no room for a health check, either, and refuses connections.
 class Server
 {
 public:
@@ -1201,12 +1201,13 @@
     std::string text;
     for (const RouteText &route : routes) {
         text += (text.empty() ? "" : ",") + std::string("{\"name\":\"") + route.name + "\",\"host\":\"" + ipText(route.address.ip) + "\",\"pathPrefix\":\"/"
-            + std::to_string(route.address.port) + "/\",\"kind\":\"" + route.kind + "\",\"timeoutMs\":5000,\"targetLatencyMs\":300,\"priority\":1,\"service\":\""
-            + route.service + "\",\"maxAttempts\":2}";
+            + std::to_string(route.address.port) + "/\",\"kind\":\"" + route.kind
+            + "\",\"timeoutMs\":5000,\"targetLatencyMs\":300,\"priority\":1,\"service\":\"" + route.service + "\",\"maxAttempts\":2}";
     }
     std::string list;
     for (const std::string &service : services) {
-        list += (list.empty() ? "" : ",") + std::string("{\"name\":\"") + service + "\",\"healthPath\":\"/health\",\"maxConnections\":2000,\"protocol\":\"h1\",\"tls\":false}";
+        list += (list.empty() ? "" : ",") + std::string("{\"name\":\"") + service
+            + "\",\"healthPath\":\"/health\",\"maxConnections\":2000,\"protocol\":\"h1\",\"tls\":false}";
     }
     return "{\"version\":" + std::to_string(version) + ",\"routes\":[" + text + "],\"services\":[" + list
         + "],\"limits\":{\"maxHeaderBytes\":16384,\"maxBodyBytes\":262144,\"headerTimeoutMs\":3000,\"idleTimeoutMs\":60000}}";
--- a/review/common-2/flows.h
+++ b/review/common-2/flows.h
@@ -18,8 +18,7 @@
             this->balancers.push_back(std::make_unique<Balancer>(this->loop, dir, "front-kv-a-" + std::to_string(i), "kv-a", hostOf(1, i),
                                                                  Address{ hostOf(0, 1), storePort }, bounds));
         }
-        this->store.put("config", "main",
-                        configurationText(7, { { "booking", this->route, "unsafe", "tempahan" } }, { "tempahan" }));
+        this->store.put("config", "main", configurationText(7, { { "booking", this->route, "unsafe", "tempahan" } }, { "tempahan" }));
         this->clients.onOpen = [this](Flow &flow) { this->sendLater(flow); };
         this->clients.onAnswer = [this](Flow &flow, const std::string &) {
             ++this->answered;
@@ -113,9 +112,9 @@
         const Server *server = this->serverOf(flow);
         const bool isLiving = server != nullptr && Clock::now() - server->disturbedAt > milliseconds(stabilityMs);
         ++(isLiving ? this->violations : this->excused);
-        record("%sopen flow %u is reset by %s while its back end %s holds it; answers so far %zu, request in progress: %s", isLiving ? "FLOW: " : "excused: ",
-               flow.client.port, ipText(reset.sender).c_str(), server == nullptr ? "(none)" : server->id.c_str(), flow.answers,
-               flow.request.empty() ? "none" : flow.request.c_str());
+        record("%sopen flow %u is reset by %s while its back end %s holds it; answers so far %zu, request in progress: %s",
+               isLiving ? "FLOW: " : "excused: ", flow.client.port, ipText(reset.sender).c_str(), server == nullptr ? "(none)" : server->id.c_str(),
+               flow.answers, flow.request.empty() ? "none" : flow.request.c_str());
     }
 
     // Writes the sums and returns the exit code.
