--- a/review/9/case.cpp
+++ b/review/9/case.cpp
@@ -1,6 +1,6 @@
 // The settings files change while the balancers run: a bound that was a whole number is a fraction now. Then the balancers are stopped and started in turn.
 
-#include "../common-2/flows.h"
+#include "../6/flows.h"
 
 using namespace review;
 
