bench: worldparts.h includes the target model of standins

hornbeam_tests did not compile on a clean checkout: since tests/ has a header targetmodel.h as well, and "targetmodel.h" in bench/worldparts.h found that one in the tests' include path. A filled compiler cache hid it. The path from the root is unambiguous.

--- a/bench/worldparts.h
+++ b/bench/worldparts.h
@@ -6,8 +6,8 @@
 // Sections: settings | instances | targets
 
 #include "node/node.h"
+#include "standins/targetmodel.h"
 #include "store/objectwatcher.h"
-#include "targetmodel.h"
 #include "worldledger.h"
 #include "worldplatform.h"
 
