Flow counters: each is published under its own name

So hornbeam_flow_checks_inconclusive_total showed the opening packets sent to cold targets, hornbeam_flow_warmup_limited_total the flows placed by a zone's share, and so on for six counters. Found by reading.

--- a/src/flows/flowcounters.cpp
+++ b/src/flows/flowcounters.cpp
@@ -9,10 +9,10 @@
 constexpr std::string_view resetNames[] = { "none",          "route_unknown",  "route_dropped", "no_target",  "target_departed",
                                             "target_silent", "target_unknown", "overloaded",    "restricted", "evacuated" };
 static_assert(std::size(resetNames) == static_cast<size_t>(ResetReason::Count));
-constexpr std::string_view eventNames[] = { "packets_forwarded", "flows_placed",        "flows_moved",        "flows_forgotten",    "placed_other_zone",
-                                            "checks_begun",      "checks_failed",       "targets_silenced",   "targets_recovered",  "sends_refused",
-                                            "evacuations_begun", "checks_inconclusive", "refused_by_waiting", "placed_other_share", "placed_by_zone_share",
-                                            "cold_openings",     "warmup_limited" };
+constexpr std::string_view eventNames[] = { "packets_forwarded",  "flows_placed",         "flows_moved",      "flows_forgotten",     "placed_other_zone",
+                                            "checks_begun",       "checks_failed",        "targets_silenced", "targets_recovered",   "sends_refused",
+                                            "evacuations_begun",  "cold_openings",        "warmup_limited",   "checks_inconclusive", "refused_by_waiting",
+                                            "placed_other_share", "placed_by_zone_share", "members_queried",  "answering_others" };
 static_assert(std::size(eventNames) == static_cast<size_t>(FlowCounter::Count));
 
 void appendLine(std::string &out, const std::string &name, const std::string &labels, uint64_t value)
--- a/src/flows/flowcounters.h
+++ b/src/flows/flowcounters.h
@@ -56,6 +56,8 @@
     RefusedByWaiting,   // new flows refused because of the expected waiting time of their service
     PlacedOtherShare,   // flows placed on another service of their route because the selected one had no capacity
     PlacedByZoneShare,  // flows placed in another availability zone because of the zone's share
+    MembersQueried,     // queries to other members whether a target that refuses connections answers them
+    AnsweringOthers,    // such targets that had answered another member
     Count,
 };
 
