Health checks: other members are queried before a refusal ends a target

Cause: whether a refused connection check may be due to load was judged only by what the instance itself has at the target and its siblings. When callers of other instances, here of another zone, had filled a target, an instance with an idle flow of it found a request overdue and one check refused, as it would with an ended process, and reset all its flows of it.

Ruled out by docs/design/overloaded-targets.md: a rule on what one instance sees (both look the same), longer grace periods, several refusals in a row.

Members that have had an answer from the target report its age. Inconclusive refusals, as in an overload, send nothing.

--- a/src/apps/flowdaemon.cpp
+++ b/src/apps/flowdaemon.cpp
@@ -70,6 +70,8 @@
     {
         this->forwarder.setZoneLoads(&this->store.zoneLoads());
         this->forwarder.setBudgetShares(this->store.budgetShares());
+        this->forwarder.setAnswerQueries(&this->store.answerQueries());
+        this->store.answerQueries().setSource(&this->forwarder);
     }
 
     int run()
--- a/src/apps/flowlog.cpp
+++ b/src/apps/flowlog.cpp
@@ -155,6 +155,26 @@
                     { "open_flows", target.openFlows } });
 }
 
+void FlowLog::onMembersQueried(const Target &target, Duration answerAge)
+{
+    if (this->log.admits("members_queried")) {
+        this->log.add("members_queried",
+                      { { "target", target.record.name },
+                        { "service", target.record.service },
+                        { "progress_age_ms", this->ageMillis(target.lastProgress) },
+                        { "outstanding_requests", target.outstandingRequests },
+                        { "open_flows", target.openFlows },
+                        { "answer_age_ms", std::chrono::duration_cast<milliseconds>(answerAge).count() } });
+    }
+}
+
+void FlowLog::onAnsweringOthers(const Target &target)
+{
+    if (this->log.admits("target_answers_others")) {
+        this->log.add("target_answers_others", { { "target", target.record.name }, { "open_flows", target.openFlows } });
+    }
+}
+
 void FlowLog::onTargetSuspected(const Target &target, Duration grace)
 {
     if (this->log.admits("target_suspected")) {
--- a/src/apps/flowlog.h
+++ b/src/apps/flowlog.h
@@ -22,6 +22,8 @@
     void onDropped(const FlowPacket &packet, DropReason reason) override;
     void onTargetChange(const TargetChange &change) override;
     void onTargetHealth(const Target &target, CheckOutcome outcome) override;
+    void onMembersQueried(const Target &target, Duration answerAge) override;
+    void onAnsweringOthers(const Target &target) override;
     void onTargetSuspected(const Target &target, Duration grace) override;
     void onZoneShareChange(const ZoneShareChange &change) override;
     void onTargetWarmup(const Target &target, bool isCold, std::optional<uint32_t> limit) override;
--- a/src/apps/flowstore.cpp
+++ b/src/apps/flowstore.cpp
@@ -7,6 +7,7 @@
 #include "apps/resourcereading.h"
 #include "apps/storereadersettings.h"
 #include "apps/storereadings.h"
+#include "balancing/answerqueries.h"
 #include "balancing/loadreports.h"
 #include "balancing/memberbudgetshares.h"
 #include "balancing/zoneloads.h"
@@ -73,6 +74,7 @@
         , sharing(makeStoreReaderSettings(*settings.flows).sharing, this->membership, clock, this->counters, observer)
         , loadReports(settings.flows->parts.reports, this->membership, clock)
         , zoneLoads(makeZoneLoadSettings(*settings.flows), this->membership, clock, seed + 3)
+        , answerQueries(AnswerQuerySettings{}, this->membership, clock)
         , client(context, this->counters, makePlatformSettings(settings))
         , seeds(
               this->client, clock, seed + 2, settings.zone, Endpoint{ settings.address, settings.peerPort },
@@ -109,6 +111,7 @@
         this->sharing.tick(out);
         this->loadReports.tick(this->ownLoad, out);
         this->zoneLoads.tick(out);
+        this->answerQueries.tick(out);
         this->link.send(out);
         this->updateMembers();
         for (const auto &[resource, reading] : this->readings) {
@@ -188,6 +191,10 @@
                     this->loadReports.onMessage(typed);
                 } else if constexpr (requires { this->zoneLoads.onMessage(typed, out); }) {
                     this->zoneLoads.onMessage(typed, out);
+                } else if constexpr (requires { this->answerQueries.onMessage(typed, out); }) {
+                    this->answerQueries.onMessage(typed, out);
+                } else if constexpr (requires { this->answerQueries.onMessage(typed); }) {
+                    this->answerQueries.onMessage(typed);
                 } else {
                     this->counters.add(Counter::PeerPacketsRejected); // message type of instances that serve tables
                 }
@@ -291,7 +298,7 @@
             + (this->sharing.isReader(StoreResource::Targets) ? "1" : "0") + "\nhornbeam_rotation_aside " + (this->rotation.isOutOfRotation() ? "1" : "0")
             + "\nhornbeam_warmup_shares_settled " + (this->warmupShares.isSettled(this->clock.now()) ? "1" : "0") + "\nhornbeam_load_reports_fresh "
             + std::to_string(this->loadReports.reported().reports) + "\nhornbeam_load_report_bytes_total " + std::to_string(this->loadReports.bytesSent())
-            + "\n" + this->overload.gauges();
+            + "\n" + this->answerQueries.metricsText() + this->overload.gauges();
     }
 
     std::string membersPage() const
@@ -318,6 +325,7 @@
     LoadReports loadReports;
     OwnLoad ownLoad; // to be reported
     ZoneLoads zoneLoads;
+    AnswerQueries answerQueries;
     PlatformClient client;
     std::map<StoreResource, std::unique_ptr<ResourceReading>> readings; // of the resources that the deployment uses
     SeedList seeds;
@@ -397,6 +405,11 @@
     return this->impl->zoneLoads;
 }
 
+AnswerQueries &FlowStore::answerQueries()
+{
+    return this->impl->answerQueries;
+}
+
 void FlowStore::setSharesNeeded(bool isNeeded)
 {
     this->impl->areSharesNeeded = isNeeded;
--- a/src/apps/flowstore.h
+++ b/src/apps/flowstore.h
@@ -19,6 +19,7 @@
 
 namespace hornbeam {
 
+class AnswerQueries;
 class ZoneLoads;
 
 class FlowStore
@@ -58,6 +59,8 @@
     bool isOutOfRotation() const;
     /** Reports of the load of other zones. Valid until this object ends. */
     ZoneLoads &zoneLoads();
+    /** Queries to other members about the answers of targets. Valid until this object ends. */
+    AnswerQueries &answerQueries();
     /** Sets whether this instance needs shares of limits that hold for all instances. */
     void setSharesNeeded(bool isNeeded);
     /** This instance's shares of such limits. Valid as long as this object. */
--- a/src/apps/tunables.cpp
+++ b/src/apps/tunables.cpp
@@ -144,6 +144,7 @@
     flowTunable<&FlowSettings::overloadGrace>("overload_grace_ms", 0, 60'000),
     flowTunable<&FlowSettings::overloadGracePerInstance>("overload_grace_instance_ms", 0, 60'000),
     flowTunable<&FlowSettings::maxOverloadGrace>("overload_grace_max_ms", 0, 60'000),
+    flowTunable<&FlowSettings::memberAnswerAge>("member_answer_age_ms", 0, 60'000),
     flowTunable<&FlowSettings::fullTargetMargin>("full_target_margin", 0, 1000),
     flowTunable<&FlowSettings::checkInterval>("check_interval_ms", 10, minuteMs),
     flowTunable<&FlowSettings::checkTimeout>("check_timeout_ms", 10, 5000),
--- a/src/flows/flowforwarder.h
+++ b/src/flows/flowforwarder.h
@@ -4,6 +4,7 @@
 //
 // Sections: results | forwarder
 
+#include "balancing/answerqueries.h"
 #include "balancing/loadreports.h"
 #include "core/clock.h"
 #include "flows/answertimes.h"
@@ -76,6 +77,17 @@
     virtual void onDropped(const FlowPacket &packet, DropReason reason) = 0;
     virtual void onTargetChange(const TargetChange &change) = 0;
     virtual void onTargetHealth(const Target &target, CheckOutcome outcome) = 0;
+    /** Other members are queried about a target that refuses connections. `answerAge`: an answer to one of them within this time speaks for the target. */
+    virtual void onMembersQueried(const Target &target, Duration answerAge)
+    {
+        static_cast<void>(target);
+        static_cast<void>(answerAge);
+    }
+    /** Another member has had an answer from a target that refuses connections, which is therefore kept. */
+    virtual void onAnsweringOthers(const Target &target)
+    {
+        static_cast<void>(target);
+    }
     /** A refused connection check of a target is inconclusive, because it may be overloaded. `grace`: how long it is given to answer. */
     virtual void onTargetSuspected(const Target &target, Duration grace)
     {
@@ -99,7 +111,7 @@
 //--- Forwarder
 
 /** Not thread safe: owned by one event loop. */
-class FlowForwarder
+class FlowForwarder final : public AnswerSource
 {
 public:
     /** Precondition: `clock` and `observer` outlive the forwarder. */
@@ -127,12 +139,17 @@
     void onReportedLoad(const ReportedLoad &load);
     /** Sets where reports of other zones' load come from; may be null. Precondition: `loads` outlives the forwarder's use. */
     void setZoneLoads(ZoneLoads *loads);
+    /** Sets what queries other members about targets that refuse connections; may be null, and then they aren't queried. Precondition: `queries` outlives the
+     * forwarder's use. */
+    void setAnswerQueries(AnswerQueries *queries);
     /** Sets what divides the limits of cold targets among instances; until then, such targets get no new flows. Precondition: `shares` outlives the forwarder.
      */
     void setBudgetShares(const BudgetShares &shares);
     /** Detects unanswered packets, starts due checks and expires old flows. Call about every 20 ms. */
     void tick(FlowActions &out);
 
+    TimePoint lastAnswerOf(uint32_t token) const override;
+
     /** Whether the configuration and the target list have been loaded, and the evacuated zones if they are needed and arrive in time. */
     bool isReady() const;
     const EvacuationRule &evacuationRule() const;
@@ -181,6 +198,7 @@
     bool isConfigurationFresh() const;
     bool mayBeFull(const Target &target) const;
     CheckContext checkContextOf(const Target &target, CheckOutcome outcome) const;
+    void updateQuery(const Target &target, HealthVerdict verdict, const CheckContext &context);
 
     const FlowSettings settings;
     const ZoneId ownZone;
@@ -198,6 +216,7 @@
     TimePoint nextColdUpdate;
     AnswerTimes answers;
     std::vector<TargetPtr> rechecks; // silent targets, and draining targets that refused a connection
+    AnswerQueries *answerQueries = nullptr;
     size_t instanceCount = 1;
     TimePoint configurationConfirmed;
     TimePoint nextExpiry;
--- a/src/flows/flowsettings.h
+++ b/src/flows/flowsettings.h
@@ -38,8 +38,9 @@
     Duration overloadGrace = seconds(1);         // time for a target that may be overloaded to answer a flow, with many instances
     Duration overloadGracePerInstance = milliseconds(12); // the same, for each instance: each of them sees only a part of a target's answers
     Duration maxOverloadGrace = seconds(3);               // upper bound of the same for slow targets; below entryExpiryDelay
-    uint32_t fullTargetMargin = 4;                    // flows of a target may be spread this unevenly over the instances; to estimate whether it may be full
-    uint32_t maxRelatedChecks = 16;                   // other targets to check when a target falls silent; host and link faults often affect several targets
+    Duration memberAnswerAge = milliseconds(300); // a target that refuses connections has not ended if it answered another member this recently; 0: not queried
+    uint32_t fullTargetMargin = 4;                // flows of a target may be spread this unevenly over the instances; to estimate whether it may be full
+    uint32_t maxRelatedChecks = 16;               // other targets to check when a target falls silent; host and link faults often affect several targets
     Duration initialRecheckDelay = milliseconds(500); // before the first recheck of a silent target; doubles with each failed recheck
     Duration maxRecheckDelay = milliseconds(2500);    // a healed network partition must be detected within the 4 s in which flows may be reset after it
 
--- a/src/flows/flowupdates.cpp
+++ b/src/flows/flowupdates.cpp
@@ -111,6 +111,17 @@
     this->placement.onReportedLoad(load);
 }
 
+void FlowForwarder::setAnswerQueries(AnswerQueries *queries)
+{
+    this->answerQueries = queries;
+}
+
+TimePoint FlowForwarder::lastAnswerOf(uint32_t token) const
+{
+    const TargetPtr target = this->directory.findToken(token);
+    return target != nullptr ? target->lastProgress : TimePoint{};
+}
+
 void FlowForwarder::setBudgetShares(const BudgetShares &shares)
 {
     this->warmup.setShares(shares);
@@ -145,6 +156,7 @@
     const bool wasSilent = target->isSilent();
     const CheckContext context = this->checkContextOf(*target, outcome);
     const HealthVerdict verdict = this->health.endCheck(*target, outcome, context, now);
+    this->updateQuery(*target, verdict, context);
     if (wasSilent != target->isSilent()) {
         this->placement.onTargetsChanged();
         this->observer.onTargetHealth(*target, outcome);
@@ -155,6 +167,8 @@
         this->resetFlows(target, ResetReason::TargetSilent, out);
         this->scheduleRecheck(target);
         this->checkRelatedTargets(*target, out);
+    } else if (verdict == HealthVerdict::QueryMembers) {
+        this->scheduleRecheck(target);
     } else if (verdict == HealthVerdict::CheckLater) {
         this->counters.add(FlowCounter::ChecksInconclusive, target->isOverloadSuspected ? 1 : 0);
         if (target->isOverloadSuspected && target->refusedAt == now) {
@@ -178,10 +192,30 @@
         context.mayBeFull = this->mayBeFull(target);
         context.mayBeOverloaded = mayBeOverloaded(target, this->directory.targetsOf(target.record.service), view, this->settings, this->clock.now());
         context.overloadGrace = overloadGraceOf(target, view, this->settings);
+        // The entry of an unlisted target has expired, so its process has ended.
+        if (this->answerQueries != nullptr && this->settings.memberAnswerAge > Duration{ 0 } && target.phase != TargetPhase::Unlisted) {
+            context.otherMembers = this->answerQueries->evidenceOf(target.token);
+            context.queryDuration = this->answerQueries->duration();
+        }
     }
     return context;
 }
 
+void FlowForwarder::updateQuery(const Target &target, HealthVerdict verdict, const CheckContext &context)
+{
+    if (verdict == HealthVerdict::QueryMembers) {
+        const Duration answerAge = memberAnswerAgeOf(target, this->settings);
+        this->answerQueries->begin(target.token, answerAge);
+        this->counters.add(FlowCounter::MembersQueried);
+        this->observer.onMembersQueried(target, answerAge);
+    } else if (verdict == HealthVerdict::CheckLater && !target.isOverloadSuspected && context.otherMembers == AnswerEvidence::Answered) {
+        this->answerQueries->discard(target.token);
+        this->observer.onAnsweringOthers(target);
+    } else if (verdict == HealthVerdict::Silent && this->answerQueries != nullptr) {
+        this->answerQueries->discard(target.token);
+    }
+}
+
 // This instance sees only its own share of the target's flows.
 bool FlowForwarder::mayBeFull(const Target &target) const
 {
--- a/src/flows/passivehealth.cpp
+++ b/src/flows/passivehealth.cpp
@@ -92,6 +92,9 @@
     if (!isProof) {
         return HealthVerdict::CheckAgain;
     }
+    if (outcome == CheckOutcome::Refused && context.otherMembers != AnswerEvidence::Unanswered) {
+        return this->awaitOtherMembers(target, context, now);
+    }
     target.silentSince = now;
     target.isOverloadSuspected = false;
     target.recheckDelay = this->settings.initialRecheckDelay;
@@ -111,6 +114,20 @@
     return mayRefuse && this->applyRefusalGrace(target, now);
 }
 
+// Callers of other instances may have filled the target, and this instance sees nothing of their flows.
+HealthVerdict PassiveHealth::awaitOtherMembers(Target &target, const CheckContext &context, TimePoint now) const
+{
+    target.failedChecks = 0; // its host responds
+    target.isOverloadSuspected = false;
+    if (context.otherMembers == AnswerEvidence::Unqueried) {
+        target.nextCheck = now + context.queryDuration;
+        return HealthVerdict::QueryMembers;
+    }
+    this->counters.add(FlowCounter::AnsweringOthers, context.otherMembers == AnswerEvidence::Answered ? 1 : 0);
+    target.nextCheck = now + context.queryDuration / 2;
+    return HealthVerdict::CheckLater;
+}
+
 // An overloaded target answers the requests of its open flows after the time that its queue takes. So only a request that has waited through the grace period
 // proves that the process has ended. An opening packet proves nothing: a full target refuses it, which only its caller sees.
 bool PassiveHealth::applyOverloadGrace(Target &target, const CheckContext &context, TimePoint now) const
--- a/src/flows/passivehealth.h
+++ b/src/flows/passivehealth.h
@@ -4,6 +4,7 @@
 // marked silent. So packet loss or a faulty link of a caller marks no target silent, while a single flow is enough to detect a dead target. A check that
 // times out is inconclusive while no other target accepts connections, because this instance's own link may be saturated or down.
 
+#include "balancing/answerqueries.h"
 #include "core/clock.h"
 #include "flows/flowcounters.h"
 #include "flows/flowsettings.h"
@@ -24,10 +25,11 @@
 /** Conclusion from a check's outcome for its target. */
 enum class HealthVerdict : uint8_t {
     Unchanged,
-    CheckAgain,  // inconclusive, as after a single timed-out check; repeat the check now
-    Silent,      // the target has just been marked silent
-    StillSilent, // the target remains silent; new flows may have arrived during the check
-    CheckLater,  // a draining, full or overloaded target refuses connections but may still be answering its flows
+    CheckAgain,   // inconclusive, as after a single timed-out check; repeat the check now
+    Silent,       // the target has just been marked silent
+    StillSilent,  // the target remains silent; new flows may have arrived during the check
+    CheckLater,   // a draining, full or overloaded target refuses connections but may still be answering its flows
+    QueryMembers, // the target refuses connections; other members may have had answers from it
 };
 
 /** What is known about a target when one of its checks ends. */
@@ -37,6 +39,8 @@
     bool mayBeFull = false;       // it may have as many connections as it accepts, and then it refuses the check's
     bool mayBeOverloaded = false; // see mayBeOverloaded()
     Duration overloadGrace{ 0 };  // see overloadGraceOf()
+    AnswerEvidence otherMembers = AnswerEvidence::Unanswered;
+    Duration queryDuration{ 0 }; // of a query to them
 };
 
 /** Not thread safe: owned by one event loop. */
@@ -65,6 +69,7 @@
     bool applyRefusalGrace(Target &target, TimePoint now) const;
     bool applyOverloadGrace(Target &target, const CheckContext &context, TimePoint now) const;
     bool isRefusalInconclusive(Target &target, const CheckContext &context, TimePoint now) const;
+    HealthVerdict awaitOtherMembers(Target &target, const CheckContext &context, TimePoint now) const;
     void handlePassedCheck(Target &target, TimePoint listed, TimePoint now);
 
     const FlowSettings &settings;
--- a/src/flows/refusalevidence.cpp
+++ b/src/flows/refusalevidence.cpp
@@ -74,4 +74,9 @@
     return std::max({ settings.refusalGrace, shared, queueTimeOf(target, settings) });
 }
 
+Duration memberAnswerAgeOf(const Target &target, const FlowSettings &settings)
+{
+    return std::max(settings.memberAnswerAge, std::min(settings.overloadAnswerAge, queueTimeOf(target, settings)));
+}
+
 } // namespace hornbeam
--- a/src/flows/refusalevidence.h
+++ b/src/flows/refusalevidence.h
@@ -28,4 +28,7 @@
 /** How long a target that may be overloaded must refuse connections and leave a request unanswered until its process counts as ended. Thread safe. */
 Duration overloadGraceOf(const Target &target, const LoadView &view, const FlowSettings &settings);
 
+/** How recently another member must have had an answer from a target that refuses connections, so that its process has not ended. Thread safe. */
+Duration memberAnswerAgeOf(const Target &target, const FlowSettings &settings);
+
 } // namespace hornbeam
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -154,7 +154,7 @@
             } else if constexpr (
                 std::is_same_v<
                     Typed,
-                    StoreQuery> || std::is_same_v<Typed, StoreResponse> || std::is_same_v<Typed, RotationReport> || std::is_same_v<Typed, LoadReport> || std::is_same_v<Typed, ZoneLoad>) {
+                    StoreQuery> || std::is_same_v<Typed, StoreResponse> || std::is_same_v<Typed, RotationReport> || std::is_same_v<Typed, LoadReport> || std::is_same_v<Typed, ZoneLoad> || std::is_same_v<Typed, AnswerQuery> || std::is_same_v<Typed, AnswerResponse>) {
                 // exchanged only between instances that forward flows
             } else {
                 this->feedEngine.onMessage(typed, out);
--- a/src/peer/loadmessages.h
+++ b/src/peer/loadmessages.h
@@ -1,6 +1,6 @@
 #pragma once
 
-// Messages about the load of targets between instances that forward flows; see messages.h.
+// Messages about the load and the answers of targets between instances that forward flows; see messages.h.
 
 #include "core/types.h"
 
@@ -88,4 +88,59 @@
     }
 };
 
+/** A target that the sender of a query suspects. */
+struct SuspectTarget
+{
+    uint32_t token = 0;    // routing token of the target
+    uint32_t withinMs = 0; // answers older than this are of no interest
+
+    bool operator==(const SuspectTarget &) const = default;
+    template<typename Visitor>
+    void visitFields(Visitor &visit)
+    {
+        visit(this->token, this->withinMs);
+    }
+};
+
+/** The latest answer of a target to a flow of the sender. */
+struct TargetAnswer
+{
+    uint32_t token = 0;
+    uint32_t ageMs = 0;
+
+    bool operator==(const TargetAnswer &) const = default;
+    template<typename Visitor>
+    void visitFields(Visitor &visit)
+    {
+        visit(this->token, this->ageMs);
+    }
+};
+
+/** Asks whether targets that refuse connections have answered flows of the receiver. Only members with such answers respond. */
+struct AnswerQuery
+{
+    MemberId sender = 0;
+    uint64_t sequence = 0; // increases with each query of the sender, also across restarts
+    std::vector<SuspectTarget> targets;
+
+    template<typename Visitor>
+    void visitFields(Visitor &visit)
+    {
+        visit(this->sender, this->sequence, this->targets);
+    }
+};
+
+/** The response to an AnswerQuery. */
+struct AnswerResponse
+{
+    uint64_t sequence = 0; // of the query
+    std::vector<TargetAnswer> targets;
+
+    template<typename Visitor>
+    void visitFields(Visitor &visit)
+    {
+        visit(this->sequence, this->targets);
+    }
+};
+
 } // namespace hornbeam
--- a/src/peer/messages.h
+++ b/src/peer/messages.h
@@ -16,6 +16,6 @@
 /** All messages, in the order of their wire numbers. New messages must be appended. */
 using PeerMessage = std::variant<Ping, PingAck, PingRequest, ZoneDigest, SlotRequest, SlotGrant, SlotRefusal, SlotRelease, HeldSlotsQuery, HeldSlotsReport,
                                  TargetNotice, Relay, RecordHandover, FeedMove, FeedCopy, FeedMoveAck, FeedDrop, TableVersions, TablePull, TableText,
-                                 StoreQuery, StoreResponse, RotationReport, LoadReport, ZoneLoad>;
+                                 StoreQuery, StoreResponse, RotationReport, LoadReport, ZoneLoad, AnswerQuery, AnswerResponse>;
 
 } // namespace hornbeam
