Health checks: the result of a query counts for one refusal

A result is discarded with the outcome of the check that used it or did not need it, and kept for 200 ms at most. The new section of the full target's story failed before.

--- a/src/balancing/answerqueries.cpp
+++ b/src/balancing/answerqueries.cpp
@@ -54,7 +54,7 @@
     if (!this->hasEnded(query, now)) {
         return AnswerEvidence::Pending;
     }
-    if (now - query.lastSent > this->settings.lifetime) {
+    if (now - query.lastSent > this->settings.interval + this->settings.lifetime) {
         return AnswerEvidence::Unqueried;
     }
     const bool isAnswered = query.answeredAt != TimePoint{} && now - query.answeredAt < query.within;
@@ -98,8 +98,9 @@
     const double elapsed = std::chrono::duration<double>(now - this->lastTick).count();
     this->lastTick = now;
     this->allowedRounds = std::min(this->settings.maxRoundsPerSecond, this->allowedRounds + elapsed * this->settings.maxRoundsPerSecond);
-    std::erase_if(this->queries,
-                  [this, now](const auto &entry) { return this->hasEnded(entry.second, now) && now - entry.second.lastSent > this->settings.lifetime; });
+    std::erase_if(this->queries, [this, now](const auto &entry) {
+        return this->hasEnded(entry.second, now) && now - entry.second.lastSent > this->settings.interval + this->settings.lifetime;
+    });
     const auto isDue = [this, now](const Query &query) {
         return query.sent == 0 || (query.sent < this->settings.rounds && now - query.lastSent >= this->settings.interval);
     };
--- a/src/balancing/answerqueries.h
+++ b/src/balancing/answerqueries.h
@@ -16,11 +16,11 @@
 
 struct AnswerQuerySettings
 {
-    uint32_t rounds = 3;                  // datagrams of a query to each member
-    Duration interval = milliseconds(60); // between two rounds, and from the last one to the result; several round trips between zones
-    Duration lifetime = seconds(1);       // of a result
-    size_t maxTargets = 100;              // per datagram
-    double maxRoundsPerSecond = 20;       // datagrams to each member; further queries wait
+    uint32_t rounds = 3;                   // datagrams of a query to each member
+    Duration interval = milliseconds(60);  // between two rounds, and from the last one to the result; several round trips between zones
+    Duration lifetime = milliseconds(200); // of a result; the check that uses it may take 50 ms
+    size_t maxTargets = 100;               // per datagram
+    double maxRoundsPerSecond = 20;        // datagrams to each member; further queries wait
 };
 
 /** What the other members have said about a target. */
@@ -54,7 +54,7 @@
     void begin(uint32_t token, Duration within);
     /** The result of the latest query about a target. */
     AnswerEvidence evidenceOf(uint32_t token) const;
-    /** Discards the result of a query, so that the next one starts afresh. */
+    /** Ends a query about a target and discards its result. No effect without one. */
     void discard(uint32_t token);
     /** From begin() to the result, if datagrams may be sent at once. */
     Duration duration() const;
--- a/src/flows/flowforwarder.h
+++ b/src/flows/flowforwarder.h
@@ -198,7 +198,7 @@
     bool isConfigurationFresh() const;
     bool mayBeFull(const Target &target) const;
     CheckContext checkContextOf(const Target &target, CheckOutcome outcome) const;
-    void updateQuery(const Target &target, HealthVerdict verdict, const CheckContext &context);
+    void updateQuery(const Target &target, HealthVerdict verdict);
 
     const FlowSettings settings;
     const ZoneId ownZone;
--- a/src/flows/flowupdates.cpp
+++ b/src/flows/flowupdates.cpp
@@ -156,7 +156,7 @@
     const bool wasSilent = target->isSilent();
     const CheckContext context = this->checkContextOf(*target, outcome);
     const HealthVerdict verdict = this->health.endCheck(*target, outcome, context, now);
-    this->updateQuery(*target, verdict, context);
+    this->updateQuery(*target, verdict);
     if (wasSilent != target->isSilent()) {
         this->placement.onTargetsChanged();
         this->observer.onTargetHealth(*target, outcome);
@@ -167,7 +167,7 @@
         this->resetFlows(target, ResetReason::TargetSilent, out);
         this->scheduleRecheck(target);
         this->checkRelatedTargets(*target, out);
-    } else if (verdict == HealthVerdict::QueryMembers) {
+    } else if (verdict == HealthVerdict::QueryMembers || verdict == HealthVerdict::AwaitMembers || verdict == HealthVerdict::AnsweringOthers) {
         this->scheduleRecheck(target);
     } else if (verdict == HealthVerdict::CheckLater) {
         this->counters.add(FlowCounter::ChecksInconclusive, target->isOverloadSuspected ? 1 : 0);
@@ -201,18 +201,23 @@
     return context;
 }
 
-void FlowForwarder::updateQuery(const Target &target, HealthVerdict verdict, const CheckContext &context)
+// The result of a query only counts for the refusals that it was begun for: after any other outcome, the target may have been filled again.
+void FlowForwarder::updateQuery(const Target &target, HealthVerdict verdict)
 {
+    if (this->answerQueries == nullptr || verdict == HealthVerdict::AwaitMembers) {
+        return;
+    }
     if (verdict == HealthVerdict::QueryMembers) {
         const Duration answerAge = memberAnswerAgeOf(target, this->settings);
         this->answerQueries->begin(target.token, answerAge);
         this->counters.add(FlowCounter::MembersQueried);
         this->observer.onMembersQueried(target, answerAge);
-    } else if (verdict == HealthVerdict::CheckLater && !target.isOverloadSuspected && context.otherMembers == AnswerEvidence::Answered) {
-        this->answerQueries->discard(target.token);
+        return;
+    }
+    this->answerQueries->discard(target.token);
+    if (verdict == HealthVerdict::AnsweringOthers) {
+        this->counters.add(FlowCounter::AnsweringOthers);
         this->observer.onAnsweringOthers(target);
-    } else if (verdict == HealthVerdict::Silent && this->answerQueries != nullptr) {
-        this->answerQueries->discard(target.token);
     }
 }
 
--- a/src/flows/passivehealth.cpp
+++ b/src/flows/passivehealth.cpp
@@ -123,9 +123,8 @@
         target.nextCheck = now + context.queryDuration;
         return HealthVerdict::QueryMembers;
     }
-    this->counters.add(FlowCounter::AnsweringOthers, context.otherMembers == AnswerEvidence::Answered ? 1 : 0);
     target.nextCheck = now + context.queryDuration / 2;
-    return HealthVerdict::CheckLater;
+    return context.otherMembers == AnswerEvidence::Answered ? HealthVerdict::AnsweringOthers : HealthVerdict::AwaitMembers;
 }
 
 // An overloaded target answers the requests of its open flows after the time that its queue takes. So only a request that has waited through the grace period
--- a/src/flows/passivehealth.h
+++ b/src/flows/passivehealth.h
@@ -25,11 +25,13 @@
 /** Conclusion from a check's outcome for its target. */
 enum class HealthVerdict : uint8_t {
     Unchanged,
-    CheckAgain,   // inconclusive, as after a single timed-out check; repeat the check now
-    Silent,       // the target has just been marked silent
-    StillSilent,  // the target remains silent; new flows may have arrived during the check
-    CheckLater,   // a draining, full or overloaded target refuses connections but may still be answering its flows
-    QueryMembers, // the target refuses connections; other members may have had answers from it
+    CheckAgain,      // inconclusive, as after a single timed-out check; repeat the check now
+    Silent,          // the target has just been marked silent
+    StillSilent,     // the target remains silent; new flows may have arrived during the check
+    CheckLater,      // a draining, full or overloaded target refuses connections but may still be answering its flows
+    QueryMembers,    // the target refuses connections; other members may have had answers from it
+    AwaitMembers,    // the query about it has not ended
+    AnsweringOthers, // another member has had an answer from it
 };
 
 /** What is known about a target when one of its checks ends. */
--- a/tests/answerqueries_test.cpp
+++ b/tests/answerqueries_test.cpp
@@ -163,7 +163,7 @@
         }
         SECTION("it is not used for longer than its lifetime")
         {
-            network.run(seconds(1) + milliseconds(100));
+            network.run(milliseconds(300));
             CHECK(network.evidence() == AnswerEvidence::Unqueried);
         }
     }
@@ -269,6 +269,16 @@
             CHECK(fixture.resets(ResetReason::TargetSilent) == 1);
         }
     }
+    SECTION("also when it has answered this instance during a query, whose result is of no use for the next refusal")
+    {
+        CHECK(fixture.refuseFor(milliseconds(100), true) == milliseconds(100));
+        fixture.send(1, fixture.opened.token, 1101, 5100, 0);
+        for (int repeats = 0; repeats < 20; ++repeats) {
+            fixture.send(1, fixture.opened.token, 1101, 5100, 100);
+            CHECK(fixture.refuseFor(milliseconds(100), true) == milliseconds(100));
+        }
+        CHECK_FALSE(fixture.target->isSilent());
+    }
     SECTION("new flows avoid it meanwhile")
     {
         fixture.refuseFor(milliseconds(400), true);
