Answer queries: two datagrams to each member instead of three

At 300 members a query is 600 datagrams for each instance that suspects a target; two copies, 80 ms apart, cover one lost datagram and answers from 140 ms before to 80 ms after the first. The bounds of the tests of the time to detection are unchanged; those of when an answer comes follow the new interval.

--- a/src/balancing/answerqueries.h
+++ b/src/balancing/answerqueries.h
@@ -16,8 +16,8 @@
 
 struct AnswerQuerySettings
 {
-    uint32_t rounds = 3;                   // datagrams of a query to each member
-    Duration interval = milliseconds(60);  // between two rounds, and from the last one to the result; several round trips between zones
+    uint32_t rounds = 2;                   // datagrams of a query to each member
+    Duration interval = milliseconds(80);  // between two rounds, and from the last one to the result; several round trips between zones
     Duration lifetime = milliseconds(200); // of a result; the check that uses it may take 50 ms
     size_t maxTargets = 100;               // per datagram
     double maxRoundsPerSecond = 20;        // datagrams to each member; further queries wait
