Tests: a slow chunked response shows how long its store paused

So the cause is not shown, and the check stays as it was; a failure prints the pause, the duration of the call and its problem.

--- a/tests/storesilence_test.cpp
+++ b/tests/storesilence_test.cpp
@@ -21,17 +21,29 @@
     SlowStore(std::vector<std::string> pieces, milliseconds pause)
         : acceptor(this->context, { boost::asio::ip::address_v4::loopback(), 0 }), server([this, pieces = std::move(pieces), pause] {
             this->acceptor.accept(this->socket);
+            TimePoint last = this->clock.now();
             for (const std::string &piece : pieces) {
                 std::this_thread::sleep_for(pause);
                 boost::system::error_code ignored; // the client may have closed the connection
                 boost::asio::write(this->socket, boost::asio::buffer(piece), ignored);
+                const TimePoint now = this->clock.now();
+                this->longest = std::max(this->longest, now - last);
+                last = now;
             }
         })
     {
     }
     ~SlowStore()
     {
-        this->server.join();
+        this->end();
+    }
+    /** Waits until all chunks were written. Returns the longest time between two of them, which is longer than the pause if the machine is busy. */
+    Duration end()
+    {
+        if (this->server.joinable()) {
+            this->server.join();
+        }
+        return this->longest;
     }
     Endpoint endpoint() const
     {
@@ -42,6 +54,8 @@
     boost::asio::io_context context;
     tcp::acceptor acceptor;
     tcp::socket socket{ this->context };
+    SystemClock clock;
+    Duration longest{ 0 }; // written by the server's thread
     std::thread server;
 };
 
@@ -102,8 +116,12 @@
     }
     SECTION("a chunked response over a slow link is not cut off")
     {
-        const SlowStore store({ head, "{\"events\"", ":[],", "\"current", "Rev\"", ":7}" }, milliseconds(60));
+        SlowStore store({ head, "{\"events\"", ":[],", "\"current", "Rev\"", ":7}" }, milliseconds(60));
         const WatchResult result = watch(store, milliseconds(0), milliseconds(150));
+        // This check has failed twice beside builds, for a reason that is not known.
+        INFO("longest time between two chunks " << std::chrono::duration_cast<milliseconds>(store.end()).count() << " ms, call "
+                                                << std::chrono::duration_cast<milliseconds>(result.elapsed).count()
+                                                << " ms, problem: " << result.reply.problem);
         CHECK(result.reply.isOk());
         CHECK(result.reply.revision == 7);
         CHECK(result.elapsed > milliseconds(200));
