--- a/src/flows/flowupdates.cpp
+++ b/src/flows/flowupdates.cpp
@@ -192,8 +192,10 @@
         context.mayBeFull = this->mayBeFull(target);
         context.mayBeOverloaded = mayBeOverloaded(target, this->directory.targetsOf(target.record.service), view, this->settings, this->clock.now());
         context.overloadGrace = overloadGraceOf(target, view, this->settings);
-        // The entry of an unlisted target has expired, so its process has ended.
-        if (this->answerQueries != nullptr && this->settings.memberAnswerAge > Duration{ 0 } && target.phase != TargetPhase::Unlisted) {
+        // The entry of an unlisted target has expired, so its process has ended. The connection to another zone may be cut, although members there are
+        // answered.
+        const bool mayAskMembers = target.phase != TargetPhase::Unlisted && target.record.zone == this->ownZone;
+        if (this->answerQueries != nullptr && this->settings.memberAnswerAge > Duration{ 0 } && mayAskMembers) {
             context.otherMembers = this->answerQueries->evidenceOf(target.token);
             context.queryDuration = this->answerQueries->duration();
         }
--- a/src/flows/passivehealth.cpp
+++ b/src/flows/passivehealth.cpp
@@ -92,7 +92,10 @@
     if (!isProof) {
         return HealthVerdict::CheckAgain;
     }
-    if (outcome == CheckOutcome::Refused && context.otherMembers != AnswerEvidence::Unanswered) {
+    // A request that has waited for longer than a full queue takes shows that this instance can't reach the target, whoever else can.
+    const Duration longestQueue = std::min(this->settings.maxOverloadGrace, std::max(this->settings.overloadGrace, 2 * context.overloadGrace));
+    const bool hasRequestWaited = target.waitingSince != TimePoint{} && now - target.waitingSince >= longestQueue;
+    if (outcome == CheckOutcome::Refused && context.otherMembers != AnswerEvidence::Unanswered && !hasRequestWaited) {
         return this->awaitOtherMembers(target, context, now);
     }
     target.silentSince = now;
