Settings: figures of the deployment may be fractions

Running ones kept their old settings; each that was stopped in a roll, killed or restarted exited with 2 at every attempt, and once the last one had stopped no request was answered.

`warmup_slack`, the heartbeat and all bounds in milliseconds were read with `JsonFields::number`, which accepts only JSON integers; a setting out of range ends the start.

Fix: `JsonFields::duration` reads milliseconds with decimals, rounded to nanoseconds, the clock's unit; `decimal` reads `warmup_slack`, now a double up to the one place where the limit of a cold target is rounded down. Written settings keep the figure. Defaults that follow from a bound are no longer cut to a millisecond by the tunables. Ranges, and the refusal of text, booleans and unknown keys, stay.

--- a/src/apps/settings.cpp
+++ b/src/apps/settings.cpp
@@ -173,21 +173,17 @@
     JsonFields part(*object, "flows", faults);
     readEndpoint(part, "packet_address", settings.flows->packets);
     readEndpoint(part, "readiness_address", settings.flows->readiness);
-    const auto readBound = [&part](const char *key, uint64_t shortest, Duration &bound) {
-        constexpr uint64_t longest = 600'000;
-        auto number = static_cast<uint64_t>(std::chrono::duration_cast<milliseconds>(bound).count());
-        part.number(key, shortest, longest, number);
-        bound = milliseconds(number);
-    };
-    readBound("target_heartbeat_ms", 100, settings.flows->targetHeartbeat);
-    readBound("drain_bound_ms", 100, settings.flows->drainBound);
-    readBound("change_bound_ms", 100, settings.flows->changeBound);
+    constexpr milliseconds shortestBound(100);
+    constexpr milliseconds longestBound(600'000);
+    part.duration("target_heartbeat_ms", shortestBound, longestBound, settings.flows->targetHeartbeat);
+    part.duration("drain_bound_ms", shortestBound, longestBound, settings.flows->drainBound);
+    part.duration("change_bound_ms", shortestBound, longestBound, settings.flows->changeBound);
     if (part.has("evacuation_bound_ms")) {
-        readBound("evacuation_bound_ms", 100, settings.flows->evacuationBound.emplace(settings.flows->changeBound));
+        part.duration("evacuation_bound_ms", shortestBound, longestBound, settings.flows->evacuationBound.emplace(settings.flows->changeBound));
     }
-    readBound("stability_ms", 100, settings.flows->stability);
-    readBound("initial_read_ms", 0, settings.flows->initialReadTimeout);
-    readBound("stop_delay_ms", 0, settings.flows->shutdownDelay);
+    part.duration("stability_ms", shortestBound, longestBound, settings.flows->stability);
+    part.duration("initial_read_ms", milliseconds(0), longestBound, settings.flows->initialReadTimeout);
+    part.duration("stop_delay_ms", milliseconds(0), longestBound, settings.flows->shutdownDelay);
     part.flag("shared_reading", settings.flows->isReadingShared);
     part.flag("leave_rotation", settings.flows->canLeaveRotation);
     part.flag("leave_when_overloaded", settings.flows->canLeaveWhenOverloaded);
@@ -322,16 +318,15 @@
             object.erase("key_files");
         }
         object["flows"] = { { "packet_address", toString(settings.flows->packets) }, { "readiness_address", toString(settings.flows->readiness) } };
-        const auto millis = [](Duration bound) { return std::chrono::duration_cast<milliseconds>(bound).count(); };
-        object["flows"]["target_heartbeat_ms"] = millis(settings.flows->targetHeartbeat);
-        object["flows"]["drain_bound_ms"] = millis(settings.flows->drainBound);
-        object["flows"]["change_bound_ms"] = millis(settings.flows->changeBound);
+        object["flows"]["target_heartbeat_ms"] = durationToJson(settings.flows->targetHeartbeat);
+        object["flows"]["drain_bound_ms"] = durationToJson(settings.flows->drainBound);
+        object["flows"]["change_bound_ms"] = durationToJson(settings.flows->changeBound);
         if (settings.flows->evacuationBound.has_value()) {
-            object["flows"]["evacuation_bound_ms"] = millis(*settings.flows->evacuationBound);
+            object["flows"]["evacuation_bound_ms"] = durationToJson(*settings.flows->evacuationBound);
         }
-        object["flows"]["stability_ms"] = millis(settings.flows->stability);
-        object["flows"]["initial_read_ms"] = millis(settings.flows->initialReadTimeout);
-        object["flows"]["stop_delay_ms"] = millis(settings.flows->shutdownDelay);
+        object["flows"]["stability_ms"] = durationToJson(settings.flows->stability);
+        object["flows"]["initial_read_ms"] = durationToJson(settings.flows->initialReadTimeout);
+        object["flows"]["stop_delay_ms"] = durationToJson(settings.flows->shutdownDelay);
         object["flows"]["shared_reading"] = settings.flows->isReadingShared;
         object["flows"]["leave_rotation"] = settings.flows->canLeaveRotation;
         object["flows"]["leave_when_overloaded"] = settings.flows->canLeaveWhenOverloaded;
--- a/src/apps/tunables.cpp
+++ b/src/apps/tunables.cpp
@@ -182,7 +182,6 @@
     flowPartTunable<&FlowSettings::reports, &LoadReportSettings::interval>("report_interval_ms", 50, 10'000),
     flowPartTunable<&FlowSettings::reports, &LoadReportSettings::lifetime>("report_lifetime_ms", 100, 60'000),
     flowTunable<&FlowSettings::choiceCandidates>("choice_candidates", 0, 100),
-    flowTunable<&FlowSettings::warmupSlack>("warmup_slack", 0, 1'000'000),
     flowTunable<&FlowSettings::warmupWindow>("warmup_window_ms", 1000, 10'000),
     flowTunable<&FlowSettings::maxFlows>("max_flows", 1, 1U << 24U),
 };
@@ -193,7 +192,9 @@
     for (const auto &row : rows) {
         uint64_t number = row.get(part);
         fields.number(row.key, row.low, row.high, number);
-        row.set(part, number);
+        if (fields.has(row.key)) { // a default that follows from a bound may be a fraction
+            row.set(part, number);
+        }
     }
 }
 
@@ -246,18 +247,21 @@
 {
     readPart(flowTunables, fields, flows);
     if (fields.has("warmup_excess")) {
-        constexpr double highest = 1000;
+        constexpr double highestExcess = 1000;
         flows.warmupExcess = 1;
-        fields.decimal("warmup_excess", 0, highest, *flows.warmupExcess);
+        fields.decimal("warmup_excess", 0, highestExcess, *flows.warmupExcess);
     }
+    constexpr double highestSlack = 1'000'000;
+    fields.decimal("warmup_slack", 0, highestSlack, flows.warmupSlack);
 }
 
 void writeFlowTunables(const FlowSettings &flows, nlohmann::json &object)
 {
     writePart(flowTunables, flows, object);
     if (flows.warmupExcess.has_value()) {
-        object["warmup_excess"] = *flows.warmupExcess;
+        object["warmup_excess"] = decimalToJson(*flows.warmupExcess);
     }
+    object["warmup_slack"] = decimalToJson(flows.warmupSlack);
 }
 
 void readOverloadTunables(JsonFields &fields, OverloadSettings &overload)
--- a/src/balancing/warmupbudget.cpp
+++ b/src/balancing/warmupbudget.cpp
@@ -5,7 +5,7 @@
 
 namespace hornbeam {
 
-std::optional<uint32_t> warmupLimitOf(std::optional<uint32_t> ratePerMille, std::optional<double> excess, uint32_t slack, ZeroRateMeaning meaning)
+std::optional<uint32_t> warmupLimitOf(std::optional<uint32_t> ratePerMille, std::optional<double> excess, double slack, ZeroRateMeaning meaning)
 {
     constexpr double perMille = 1000;
     constexpr double largest = 1'000'000;
--- a/src/balancing/warmupbudget.h
+++ b/src/balancing/warmupbudget.h
@@ -25,7 +25,7 @@
  * The opening packets that a cold target may receive in any sliding second, rounded down; nothing if there is no limit. `ratePerMille`: thousandths of an
  * opening packet per second, nothing if the service has none. `excess`: nothing if the deployment has no bounds. Thread safe.
  */
-std::optional<uint32_t> warmupLimitOf(std::optional<uint32_t> ratePerMille, std::optional<double> excess, uint32_t slack,
+std::optional<uint32_t> warmupLimitOf(std::optional<uint32_t> ratePerMille, std::optional<double> excess, double slack,
                                       ZeroRateMeaning meaning = zeroRateMeaning);
 
 /** The opening packets that this instance has sent to cold targets, against its shares of their limits. Not thread safe: owned by one event loop. */
--- a/src/core/jsonfields.cpp
+++ b/src/core/jsonfields.cpp
@@ -1,6 +1,7 @@
 #include "core/jsonfields.h"
 
 #include <algorithm>
+#include <cmath>
 #include <nlohmann/json.hpp>
 
 namespace hornbeam {
@@ -9,6 +10,13 @@
 constexpr size_t maxNameBytes = 64;
 constexpr size_t maxAbbreviatedBytes = 60;
 
+using DecimalMillis = std::chrono::duration<double, std::milli>;
+
+DecimalMillis toMillis(Duration duration)
+{
+    return std::chrono::duration_cast<DecimalMillis>(duration);
+}
+
 bool isValidNameByte(char byte)
 {
     return (byte >= 'a' && byte <= 'z') || (byte >= 'A' && byte <= 'Z') || (byte >= '0' && byte <= '9') || byte == '.' || byte == '-' || byte == '_';
@@ -25,6 +33,18 @@
     return !text.empty() && text.size() <= maxNameBytes && std::all_of(text.begin(), text.end(), isValidNameByte);
 }
 
+nlohmann::json decimalToJson(double number)
+{
+    constexpr double maxExact = 1LL << 53; // above it not every whole number is a double
+    const bool isWhole = std::abs(number) <= maxExact && std::trunc(number) == number;
+    return isWhole ? nlohmann::json(static_cast<int64_t>(number)) : nlohmann::json(number);
+}
+
+nlohmann::json durationToJson(Duration duration)
+{
+    return decimalToJson(toMillis(duration).count());
+}
+
 std::string abbreviatedText(const nlohmann::json &value)
 {
     std::string text = value.dump(-1, ' ', true, nlohmann::json::error_handler_t::replace);
@@ -79,12 +99,22 @@
         return;
     }
     if (!field->is_number() || field->get<double>() < low || field->get<double>() > high) {
-        this->fault(key, "a number from " + nlohmann::json(low).dump() + " to " + nlohmann::json(high).dump());
+        this->fault(key, "a number from " + decimalToJson(low).dump() + " to " + decimalToJson(high).dump());
         return;
     }
     value = field->get<double>();
 }
 
+void JsonFields::duration(const std::string &key, Duration low, Duration high, Duration &value)
+{
+    const size_t faultsBefore = this->faultCount();
+    double millis = toMillis(value).count();
+    this->decimal(key, toMillis(low).count(), toMillis(high).count(), millis);
+    if (this->has(key) && this->faultCount() == faultsBefore) {
+        value = std::chrono::round<Duration>(DecimalMillis(millis));
+    }
+}
+
 void JsonFields::text(const std::string &key, std::string &value)
 {
     const nlohmann::json *field = this->find(key);
--- a/src/core/jsonfields.h
+++ b/src/core/jsonfields.h
@@ -2,6 +2,8 @@
 
 // Validates hand-written JSON documents. Collects every error with its path, the value found and the allowed values.
 
+#include "core/clock.h"
+
 #include <cstdint>
 #include <nlohmann/json_fwd.hpp>
 #include <string>
@@ -43,6 +45,8 @@
     void number(const std::string &key, uint64_t low, uint64_t high, uint64_t &value);
     /** Reads a number in the range [low, high] that may have decimals. */
     void decimal(const std::string &key, double low, double high, double &value);
+    /** Reads a duration in milliseconds in the range [low, high] that may have decimals; it is rounded to nanoseconds. */
+    void duration(const std::string &key, Duration low, Duration high, Duration &value);
     /** Reads a string without further validation. */
     void text(const std::string &key, std::string &value);
     /** Reads a string that satisfies isValidName. */
@@ -73,6 +77,11 @@
     std::vector<std::string> knownKeys;
 };
 
+/** A number for a document: one that is whole has no decimals. Thread safe. */
+nlohmann::json decimalToJson(double number);
+/** A duration in milliseconds for a document, as JsonFields::duration reads it. Thread safe. */
+nlohmann::json durationToJson(Duration duration);
+
 /** Serializes a value for an error message, truncated to 60 bytes. Thread safe. */
 std::string abbreviatedText(const nlohmann::json &value);
 
--- a/src/flows/flowsettings.h
+++ b/src/flows/flowsettings.h
@@ -72,7 +72,7 @@
     uint32_t choiceCandidates = 2; // among which the reports of other members decide; 0: reports don't matter for the choice
     // warm-up of cold targets
     std::optional<double> warmupExcess;         // factor of the warm-up rate that a cold target may receive; without it there is no limit
-    uint32_t warmupSlack = 0;                   // opening packets in a second that it may receive in addition
+    double warmupSlack = 0;                     // opening packets in a second that it may receive in addition
     Duration warmupWindow = milliseconds(1100); // a second, and the time by which the delays of two packets to a target may differ
 
     // flow table
--- a/tests/flowdaemon_test.cpp
+++ b/tests/flowdaemon_test.cpp
@@ -96,6 +96,38 @@
     }
 }
 
+TEST_CASE("flow daemon: an instance takes over bounds that became fractions, and starts again with them", "[endtoend]") // it exited with 2 at each start
+{
+    PlatformProcess platform({ "--listen", "127.0.0.1:0" });
+    Endpoint store;
+    REQUIRE(parseEndpoint(platform.address, store));
+    createObject(store, "notes", "first", json::object()); // revisions of the platform start above 0, those of the stand-in at 0
+    UdpTestSocket target;
+    createTarget(store, target.port());
+    createConfiguration(store);
+    json bounds{ { "drain_bound_ms", 3000 },      { "change_bound_ms", 3000 }, { "stability_ms", 4000 }, { "target_heartbeat_ms", 1200 },
+                 { "evacuation_bound_ms", 3000 }, { "warmup_excess", 1.5 },    { "warmup_slack", 5 } };
+    FlowProcess instance("bounds", store, "127.0.0.1", freePort(), {}, bounds);
+    REQUIRE(instance.waitReady());
+
+    json settings = json::parse(std::ifstream(instance.file));
+    for (const auto &[setting, number] : bounds.items()) {
+        settings["flows"][setting] = number.get<double>() + 0.5;
+    }
+    std::ofstream(instance.file) << settings;
+    instance.child->sendSignal(SIGHUP);
+    std::this_thread::sleep_for(milliseconds(300));
+    CHECK(instance.isReady());
+    instance.child->sendSignal(SIGTERM);
+    const std::string log = instance.child->readAll();
+    CHECK(log.find("settings_reloaded") != std::string::npos);
+    CHECK(log.find("settings_kept") == std::string::npos);
+    CHECK(instance.child->wait() == 0);
+
+    instance.child = std::make_unique<ChildProcess>("hornbeamd", std::vector<std::string>{ "--settings", instance.file.string() });
+    CHECK(instance.waitReady());
+}
+
 TEST_CASE("flow daemon: instances of a zone share store reads, and one that starts during a store outage gets its data from the others", "[endtoend]")
 {
     auto platform = std::make_unique<ChildProcess>("standins-platform", std::vector<std::string>{ "--listen", "127.0.0.1:0" });
--- a/tests/warmup_test.cpp
+++ b/tests/warmup_test.cpp
@@ -238,7 +238,8 @@
 TEST_CASE("the limit of a cold target: rate x excess + slack")
 {
     CHECK(warmupLimitOf(10'000, 1.5, 5) == 20);
-    CHECK(warmupLimitOf(2'500, 1.5, 0) == 3); // rounded down
+    CHECK(warmupLimitOf(2'500, 1.5, 0) == 3);    // rounded down
+    CHECK(warmupLimitOf(2'500, 1.5, 2.25) == 6); // 3.75 and 2.25: only the sum is rounded
     CHECK(warmupLimitOf(10'000, std::nullopt, 5) == std::nullopt);
     CHECK(warmupLimitOf(std::nullopt, 1.5, 5, ZeroRateMeaning::NoLimit) == std::nullopt);
     CHECK(warmupLimitOf(0, 1.5, 5, ZeroRateMeaning::NoLimit) == std::nullopt);
