Store: a watch asks for 30 s at most

What would be seen: with bounds and a stability window above 31.5 s, which the settings allow (up to 600 s), each watch asked the store to wait longer than the 30,000 ms of its API (PROTOCOL).

Cause: the timeout of a watch follows from the bounds and had a lower limit only.

Fix: an upper limit of 30 s. The test failed before: 299.2 s for all three watchers with bounds of 600 s.

--- a/src/apps/storereadersettings.cpp
+++ b/src/apps/storereadersettings.cpp
@@ -14,6 +14,7 @@
 constexpr milliseconds coalescingDelay(300);    // the changes of a release arrive in bursts
 constexpr milliseconds fallbackReadMargin(500); // part of a time limit, for the direct read that starts when the members' data is outdated
 constexpr milliseconds minWatchTimeout(500);    // shorter timeouts only add calls and make updates no faster
+constexpr milliseconds maxWatchTimeout(30'000); // of the store's API
 constexpr milliseconds minBackoff(200);         // before the first retry of a failed call
 constexpr milliseconds maxBackoff(1000);
 constexpr milliseconds latencyMargin(300); // latency of a call and of a message between members
@@ -31,7 +32,7 @@
     WatcherSettings settings;
     const Duration detectionLimit = flows.stability - storeCallTimeout - watchRetryMargin; // a lost response is detected before its changes have to be in force
     const Duration failoverLimit = (bound - fallbackReadMargin - maxUpdateAge(Duration{ 0 }, sharing)) / 2;
-    settings.watchTimeout = std::max<Duration>(minWatchTimeout, std::min(detectionLimit, failoverLimit));
+    settings.watchTimeout = std::clamp<Duration>(std::min(detectionLimit, failoverLimit), minWatchTimeout, maxWatchTimeout);
     settings.urgentWatchTimeout = milliseconds(500); // used while a target is missing
     settings.coalescingDelay = coalescingDelay;
     settings.initialBackoff = minBackoff;
--- a/tests/settings_test.cpp
+++ b/tests/settings_test.cpp
@@ -267,7 +267,17 @@
         flows.changeBound = seconds(5);
         flows.stability = seconds(5);
     }
+    SECTION("one with the longest bounds") // a watch longer than the store allows was requested
+    {
+        flows.drainBound = seconds(600);
+        flows.changeBound = seconds(600);
+        flows.evacuationBound = seconds(600);
+        flows.stability = seconds(600);
+    }
     const StoreReaderSettings reading = makeStoreReaderSettings(flows);
+    for (const WatcherSettings &watcher : { reading.targets, reading.configurations, reading.evacuations }) {
+        CHECK(watcher.watchTimeout <= seconds(30)); // the store's limit, PROTOCOL, Platform
+    }
     const Duration failure = reading.callTimeout + reading.targets.initialBackoff; // a call that is given up, and the wait before the next
     CHECK(reading.targets.coalescingDelay + failure < flows.drainBound);
     CHECK(reading.configurations.coalescingDelay + failure < flows.changeBound);
