Stand-in: the store can be restored from a backup; tests of what follows

POST /faults takes `take_backup` and `restore_backup`: what was written since the backup is gone, revisions fall and are given out again, a watch from a revision that the store doesn't have gets 410, and so does one that waits during the restore. All responses carry `Store-Era`.

Seen with two real instances (tests/storeeras_test.cpp): what is written at a revision that was seen before the restore is ignored. A new route gets no flows, a target that registers gets none, one that drains or that the backup lacks goes on getting them, an evacuation is not noticed. It isn't only late: the edit and the target are still ignored after the store's revision has passed the one seen before (3 s later), since changes in between are read and dropped once.

Two tests pass and must go on passing: a configuration in force stays in force, open flows are not reset, and a target that drained or left and an evacuation that was taken back don't come back with the backup.

--- a/standins/platformservice.h
+++ b/standins/platformservice.h
@@ -33,6 +33,7 @@
     std::string prefix;
     uint64_t after = 0;
     std::chrono::milliseconds timeout{ 0 };
+    uint64_t era = 0; // in which it began
 };
 
 /** What to do with a request. */
@@ -62,7 +63,11 @@
     HttpResponse handleList(const std::string &kind) const;
     void showInstances(std::chrono::steady_clock::time_point now);
     HttpResponse handleInstance(const HttpRequest &request, const std::string &name, std::chrono::steady_clock::time_point now);
+    ServiceDecision decide(const HttpRequest &request, std::chrono::steady_clock::time_point now);
+    HttpResponse withEra(HttpResponse response) const;
+    bool isHistoryGone(const WatchQuestion &watch) const;
     HttpResponse handleFaults(const HttpRequest &request);
+    bool restoreBackup();
     HttpResponse handleCalls() const;
     bool mustFail();
 
@@ -74,6 +79,8 @@
     };
 
     PlatformStore store;
+    std::optional<PlatformStore> backup; // taken on request
+    uint64_t era = 1;                    // rises with each restored backup
     PlatformFaults faults;
     const std::chrono::milliseconds instanceLag;
     std::deque<InstanceChange> pending;    // changes that the list does not show yet
