Soak: the instances' settings have figures with fractions

The bounds that the soak checks stay: the limit of a cold target is still 2 (1.5 + 1.25, rounded down), and half a millisecond is below what it can see.

--- a/soak/findings.h
+++ b/soak/findings.h
@@ -19,7 +19,7 @@
 constexpr seconds warmupTime(5);      // of a target that starts during traffic
 constexpr uint32_t warmupRate(1);     // opening packets a second to a cold target, from all instances
 constexpr double warmupExcess(1.5);
-constexpr uint32_t warmupSlack(1);
+constexpr double warmupSlack(1.25);
 constexpr size_t warmupLimit(2); // in any second: rate x excess + slack, rounded down
 constexpr size_t memoryBoundKb = size_t{ 256 } * 1024;
 
--- a/soak/instances.cpp
+++ b/soak/instances.cpp
@@ -1,5 +1,6 @@
 #include "instances.h"
 
+#include "core/jsonfields.h"
 #include "store/httpget.h"
 
 #include <fstream>
@@ -42,7 +43,8 @@
 
 void Instances::writeSettings(const Instance &instance) const
 {
-    const auto millis = [](Duration duration) { return std::chrono::duration_cast<milliseconds>(duration).count(); };
+    // a deployment may give its figures as fractions
+    const auto bound = [](Duration duration) { return durationToJson(duration + std::chrono::microseconds(500)); };
     const std::string host = toString({ instance.address, 0 });
     nlohmann::json settings{
         { "name", instance.name }, { "zone", instance.zone }, { "address", host.substr(0, host.find(':')) },
@@ -50,10 +52,10 @@
     };
     settings["flows"] = { { "packet_address", toString({ instance.address, packetPort }) },
                           { "readiness_address", toString({ instance.address, readinessPort }) },
-                          { "drain_bound_ms", millis(drainBound) },
-                          { "change_bound_ms", millis(changeBound) },
-                          { "evacuation_bound_ms", millis(evacuationBound) },
-                          { "stability_ms", millis(stability) },
+                          { "drain_bound_ms", bound(drainBound) },
+                          { "change_bound_ms", bound(changeBound) },
+                          { "evacuation_bound_ms", bound(evacuationBound) },
+                          { "stability_ms", bound(stability) },
                           { "warmup_excess", warmupExcess },
                           { "warmup_slack", warmupSlack } };
     const std::string fresh = instance.settingsFile + ".new";
