--- a/tests/flowprocess.h
+++ b/tests/flowprocess.h
@@ -9,12 +9,14 @@
 #include <arpa/inet.h>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/ip/udp.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 #include <catch2/catch.hpp>
 #include <filesystem>
 #include <fstream>
 #include <nlohmann/json.hpp>
+#include <random>
 #include <sys/socket.h>
 #include <thread>
 
@@ -72,11 +74,29 @@
     int descriptor;
 };
 
-inline uint16_t freePort()
+template<typename Socket>
+bool canBind(uint16_t port)
 {
     boost::asio::io_context context;
-    boost::asio::ip::tcp::acceptor acceptor(context, { boost::asio::ip::address_v4::loopback(), 0 });
-    return acceptor.local_endpoint().port();
+    Socket socket(context);
+    boost::system::error_code error;
+    const typename Socket::protocol_type::endpoint endpoint{ boost::asio::ip::address_v4::loopback(), port };
+    socket.open(endpoint.protocol());
+    socket.bind(endpoint, error);
+    return !error;
+}
+
+/** A port that is free for TCP and UDP. Below those that the kernel gives to connections, which could take it before a process binds it. */
+inline uint16_t freePort()
+{
+    static std::minstd_rand random(std::random_device{}());
+    std::uniform_int_distribution<int> ports(10'000, 32'000);
+    for (;;) {
+        const auto port = static_cast<uint16_t>(ports(random));
+        if (canBind<boost::asio::ip::tcp::acceptor>(port) && canBind<boost::asio::ip::udp::socket>(port)) {
+            return port;
+        }
+    }
 }
 
 using StoreResponse = boost::beast::http::response<boost::beast::http::string_body>;
--- a/tests/storeeras_test.cpp
+++ b/tests/storeeras_test.cpp
@@ -96,7 +96,10 @@
         createTarget(this->store, this->first.socket.port(), "i-1f");
         createConfiguration(this->store);
         for (const std::unique_ptr<FlowProcess> &instance : this->instances) {
-            REQUIRE(instance->waitReady());
+            if (!instance->waitReady()) {
+                instance->child->sendSignal(SIGTERM);
+                FAIL("not ready, its log: " << instance->child->readAll());
+            }
             REQUIRE(instance->waitTarget("i-1f"));
         }
         this->takeBackup();
