Tests: ports of test processes are reserved against other test processes

Cause: with random ports two processes that run these tests at once still chose the same one now and then. With the log that the fixture now prints: 1 of 48 copies, "cannot listen on TCP 127.0.0.1:26767: Address already in use".

Change: a socket at an address that nothing else uses holds each port until the process ends.

--- a/tests/flowprocess.h
+++ b/tests/flowprocess.h
@@ -75,25 +75,34 @@
 };
 
 template<typename Socket>
-bool canBind(uint16_t port)
+bool tryBind(Socket &socket, const boost::asio::ip::address_v4 &address, uint16_t port)
 {
-    boost::asio::io_context context;
-    Socket socket(context);
     boost::system::error_code error;
-    const typename Socket::protocol_type::endpoint endpoint{ boost::asio::ip::address_v4::loopback(), port };
+    const typename Socket::protocol_type::endpoint endpoint{ address, port };
     socket.open(endpoint.protocol());
     socket.bind(endpoint, error);
     return !error;
 }
 
-/** A port that is free for TCP and UDP. Below those that the kernel gives to connections, which could take it before a process binds it. */
+/**
+ * A port that is free for TCP and UDP on 127.0.0.1. Below those that the kernel gives to connections, which could take it before a process binds it, and
+ * reserved until this process ends against others that run these tests, by a socket at an address that nothing else uses.
+ */
 inline uint16_t freePort()
 {
+    using boost::asio::ip::address_v4;
+    static boost::asio::io_context context;
+    static std::vector<boost::asio::ip::udp::socket> reservations;
     static std::minstd_rand random(std::random_device{}());
     std::uniform_int_distribution<int> ports(10'000, 32'000);
     for (;;) {
         const auto port = static_cast<uint16_t>(ports(random));
-        if (canBind<boost::asio::ip::tcp::acceptor>(port) && canBind<boost::asio::ip::udp::socket>(port)) {
+        boost::asio::ip::udp::socket reservation(context);
+        boost::asio::ip::tcp::acceptor acceptor(context);
+        boost::asio::ip::udp::socket packets(context);
+        if (tryBind(reservation, address_v4({ 127, 255, 255, 254 }), port) && tryBind(acceptor, address_v4::loopback(), port)
+            && tryBind(packets, address_v4::loopback(), port)) {
+            reservations.push_back(std::move(reservation));
             return port;
         }
     }
--- a/tests/storeeras_test.cpp
+++ b/tests/storeeras_test.cpp
@@ -96,11 +96,11 @@
         createTarget(this->store, this->first.socket.port(), "i-1f");
         createConfiguration(this->store);
         for (const std::unique_ptr<FlowProcess> &instance : this->instances) {
-            if (!instance->waitReady()) {
+            if (!instance->waitReady() || !instance->waitTarget("i-1f")) {
+                const std::string targets = httpGet(instance->metrics, "/targets", seconds(1)).value_or("no answer");
                 instance->child->sendSignal(SIGTERM);
-                FAIL("not ready, its log: " << instance->child->readAll());
+                FAIL("not ready or without its target; targets: " << targets << "; log: " << instance->child->readAll());
             }
-            REQUIRE(instance->waitTarget("i-1f"));
         }
         this->takeBackup();
         this->backupRevision = this->revision();
