Add review case 13: a leaving target that accepts no channels loses its flows

A draining target whose queue of new channels is full doesn't respond to connection checks, and its open flows are reset while it works on its last requests.

--- a/review/world-3.h
+++ b/review/world-3.h
@@ -11,7 +11,7 @@
 namespace {
 
 constexpr double heartbeatMs = 1200;
-constexpr size_t queueLength = 12;  // requests that wait at a backend, and new TCP channels that wait to be accepted
+constexpr int queueLength = 12;     // requests that wait at a backend, and new TCP channels that wait to be accepted
 constexpr double clientDelayMs = 1; // one way between clients and the rest
 
 std::mt19937_64 randomness{ 48 };
@@ -73,7 +73,6 @@
     std::string zone;
     Address address;
     uint64_t born = 0;
-    uint64_t seqNo = 0;
     size_t slots = 3;
     int udp = -1;
     int tcp = -1;
@@ -82,9 +81,14 @@
     std::map<std::pair<Address, Address>, ServerFlow> flows; // by client and route
     uint64_t ran = 0, shed = 0, accepted = 0;
     bool isAccepting = true;
+    bool isDraining = false;
+    bool acceptsAlways = false; // whether or not a slot is free
+    bool hasStoppedListening = false; // leaves new channels to the kernel's queue
+    int backlog = queueLength;
     bool refusesWhenFull = false; // closes its listener instead of leaving channels waiting
 
     void begin();
+    std::string entry() const;
     void beat();
     void onDatagrams();
     void onPacket(const Packet &packet);
@@ -97,6 +101,7 @@
     void sendTo(const std::pair<Address, Address> &key, uint8_t flags, uint32_t echo, uint32_t seq, uint32_t ack, const std::string &data);
     void gate();
     void listen();
+    void stopListening();
     void acceptChannels();
 };
 
@@ -200,19 +205,26 @@
     this->beat();
 }
 
+std::string Backend::entry() const
+{
+    return "{\"service\":\"" + this->service + "\",\"address\":\"" + textOf(this->address) + "\",\"zone\":\"" + this->zone
+        + "\",\"version\":\"v1\",\"slots\":" + std::to_string(this->slots) + ",\"state\":\"" + (this->isDraining ? "draining" : "ready")
+        + "\",\"warmupLeftMs\":0,\"seqNo\":1,\"born\":" + std::to_string(this->born) + "}";
+}
+
 void Backend::beat()
 {
-    ++this->seqNo;
-    this->world->store.beat(this->id, "{\"service\":\"" + this->service + "\",\"address\":\"" + textOf(this->address) + "\",\"zone\":\"" + this->zone
-                                          + "\",\"version\":\"v1\",\"slots\":" + std::to_string(this->slots)
-                                          + ",\"state\":\"ready\",\"warmupLeftMs\":0,\"seqNo\":1,\"born\":" + std::to_string(this->born) + "}");
+    this->world->store.beat(this->id, this->entry());
     this->world->loop.after(heartbeatMs, [this] { this->beat(); });
 }
 
 // A health check over TCP occupies a slot, so a channel is accepted when a slot is free, or refused while there is no room for its request.
 void Backend::gate()
 {
-    const bool isFull = this->busy >= this->slots && this->queue.size() >= queueLength;
+    const bool isFull = this->busy >= this->slots && this->queue.size() >= static_cast<size_t>(queueLength);
+    if (this->hasStoppedListening || this->acceptsAlways) {
+        return;
+    }
     const bool mayAccept = this->refusesWhenFull ? !isFull : this->busy < this->slots && this->queue.empty();
     if (mayAccept == this->isAccepting) {
         return;
@@ -228,10 +240,16 @@
     }
 }
 
+void Backend::stopListening()
+{
+    this->hasStoppedListening = true;
+    this->world->loop.setReading(this->tcp, false);
+}
+
 void Backend::listen()
 {
     this->tcp = bindSocket(this->address, SOCK_STREAM);
-    ::listen(this->tcp, queueLength);
+    ::listen(this->tcp, this->backlog);
     this->world->loop.add(this->tcp, [this] { this->acceptChannels(); });
 }
 
@@ -362,7 +380,7 @@
         this->world->record.add("UNASKED: %s got a request that cannot be read", this->id.c_str());
         return;
     }
-    if (this->busy >= this->slots && this->queue.size() >= queueLength) {
+    if (this->busy >= this->slots && this->queue.size() >= static_cast<size_t>(queueLength)) {
         ++this->shed;
         this->answer(key, "503 X-Not-Executed " + std::to_string(id), 100);
         return;
@@ -413,6 +431,9 @@
         flow.sentEnd += static_cast<uint32_t>(part.size());
     }
     this->sendData(key, flow);
+    if (this->isDraining) { // closes each flow after its next response
+        this->sendTo(key, finFlag | ackFlag, flow.echo, flow.sentEnd, flow.clientSeq, "");
+    }
 }
 
 void Backend::sendData(const std::pair<Address, Address> &key, ServerFlow &flow)
@@ -646,6 +667,11 @@
     if (static_cast<int32_t>(packet.ack - flow->nextSeq) >= 0) {
         flow->isRequestAcked = true;
     }
+    if ((packet.flags & finFlag) != 0 && packet.seq == flow->ack && flow->attempt.id == 0) {
+        this->fromClient(client, *flow, finFlag | ackFlag, flow->nextSeq, flow->ack + 1, "");
+        this->end(client, flow);
+        return;
+    }
     if (packet.data.empty()) {
         return;
     }
