--- a/review/world-3.h
+++ b/review/world-3.h
@@ -81,6 +81,8 @@
     std::map<std::pair<Address, Address>, ServerFlow> flows; // by client and route
     uint64_t ran = 0, shed = 0, accepted = 0;
     bool isAccepting = true;
+    uint32_t sender = 0; // instance that sent the last packet
+    std::function<void(const Packet &)> onOpening;
     bool isDraining = false;
     bool acceptsAlways = false; // whether or not a slot is free
     bool hasStoppedListening = false; // leaves new channels to the kernel's queue
@@ -272,10 +274,13 @@
 {
     char buffer[2048];
     for (int i = 0; i < 64; ++i) {
-        const ssize_t size = ::recv(this->udp, buffer, sizeof(buffer), 0);
+        sockaddr_in from{};
+        socklen_t length = sizeof(from);
+        const ssize_t size = ::recvfrom(this->udp, buffer, sizeof(buffer), 0, reinterpret_cast<sockaddr *>(&from), &length);
         if (size < 8) {
             return;
         }
+        this->sender = ntohl(from.sin_addr.s_addr);
         const uint64_t id = get(buffer, 8);
         Packet packet;
         if ((id == 0 || id == this->idNumber) && parse(buffer + 8, static_cast<size_t>(size) - 8, packet)) {
@@ -310,6 +315,9 @@
 {
     const std::pair<Address, Address> key{ packet.src, packet.dst };
     if ((packet.flags & synFlag) != 0) {
+        if (this->onOpening) {
+            this->onOpening(packet);
+        }
         ServerFlow &flow = this->flows[key];
         if (flow.clientSeq != packet.seq + 1 || flow.isn == 0) {
             flow = ServerFlow{};
@@ -776,7 +784,7 @@
 }
 
 /** Writes the first configuration: a route for each kind of request. */
-void configure(World &w)
+void configure(World &w, int version = 7)
 {
     std::string routes;
     std::set<std::string> names;
@@ -793,7 +801,7 @@
             + "\",\"healthPath\":\"/health\",\"maxConnections\":2000,\"protocol\":\"h1\",\"tls\":false}";
     }
     w.store.put("config", "main",
-                "{\"version\":7,\"routes\":[" + routes + "],\"services\":[" + services
+                "{\"version\":" + std::to_string(version) + ",\"routes\":[" + routes + "],\"services\":[" + services
                     + "],\"limits\":{\"maxHeaderBytes\":16384,\"maxBodyBytes\":262144,\"headerTimeoutMs\":3000,\"idleTimeoutMs\":15000}}");
 }
 
