Add review case 12: a restore after lapsed entries ends all service

Entries that lapsed in an outage count as those of ended targets when the store comes back from a copy that has them, until they change.

--- a/review/stage-3.h
+++ b/review/stage-3.h
@@ -371,6 +371,13 @@
             this->beats.try_emplace(name, nowMs());
         }
     }
+    /** Removes the entries of all backends, which were silent for too long while the store was away. */
+    void lapseAll()
+    {
+        while (!this->beats.empty()) {
+            this->forget(this->beats.begin()->first);
+        }
+    }
     double lapseMs = 3600;
     uint64_t calls = 0;
 
--- a/review/world-3.h
+++ b/review/world-3.h
@@ -81,6 +81,7 @@
     std::map<std::pair<Address, Address>, ServerFlow> flows; // by client and route
     uint64_t ran = 0, shed = 0, accepted = 0;
     bool isAccepting = true;
+    double writeDelay = 900 * uniform(); // after backendsWriteFrom
     uint32_t sender = 0; // instance that sent the last packet
     std::function<void(const Packet &)> onOpening;
     bool isDraining = false;
@@ -171,6 +172,8 @@
     std::vector<std::unique_ptr<Client>> clients;
     std::vector<Kind> kinds;
     double factor = 1;
+    double backendsWriteFrom = 0; // when the first of them reaches the store again after an outage
+    std::function<void(const Flow &, const Daemon &)> onNewReset;
     bool isTraffic = true;
     uint64_t nextAttempt = 1;
     uint64_t asked = 0, served = 0, shed = 0, failed = 0, newResets = 0, openResets = 0, backendResets = 0, openResetsWithRequest = 0;
@@ -216,6 +219,10 @@
 
 void Backend::beat()
 {
+    if (this->world->store.isAwayNow() || nowMs() < this->world->backendsWriteFrom + this->writeDelay) {
+        this->world->loop.after(20, [this] { this->beat(); });
+        return;
+    }
     this->world->store.beat(this->id, this->entry());
     this->world->loop.after(heartbeatMs, [this] { this->beat(); });
 }
@@ -619,6 +626,9 @@
         ++this->backendResets;
     } else if (!flow->isOpen) {
         ++this->newResets;
+        if (this->onNewReset) {
+            this->onNewReset(*flow, *sender);
+        }
     } else {
         const Backend *backend = this->find(flow->backend);
         const auto held = backend->flows.find(flow->key);
