--- a/review/stage-3.h
+++ b/review/stage-3.h
@@ -25,6 +25,7 @@
 #include <set>
 #include <string>
 #include <sys/epoll.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -681,6 +682,7 @@
         daemon.startedAt = nowMs();
         const pid_t pid = ::fork();
         if (pid == 0) {
+            ::prctl(PR_SET_PDEATHSIG, SIGKILL); // it ends with the script, however that ends
             const int out = ::open(daemon.log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
             ::dup2(out, 1);
             ::dup2(out, 2);
